--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+MODULES := ./core/... ./io/... ./cmd/... ./test/...
+LINT_VERSION := v2.15.0
+LINT := bin/golangci-lint-$(LINT_VERSION)
+
+.PHONY: build test lint format demo
+
+build:
+	$(GO) build -o bin/ ./cmd/wisteriaquay ./test/wqstand
+
+# The race detector is on; seeds are fixed; no test asserts a wall-clock time
+# that the machine alone decides.
+test:
+	$(GO) test -race -count=1 -timeout 20m $(MODULES)
+
+lint: $(LINT)
+	@for m in core io cmd test; do (cd $$m && ../$(LINT) run ./...) || exit 1; done
+
+format: $(LINT)
+	@for m in core io cmd test; do (cd $$m && ../$(LINT) fmt ./...) || exit 1; done
+
+$(LINT):
+	GOBIN=$(CURDIR)/bin/tmp GOWORK=off GOFLAGS=-mod=mod $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	mv bin/tmp/golangci-lint $@
+
+demo: build
+	bin/wqstand demo --program bin/wisteriaquay
--- /dev/null
+++ b/core/wqfault/fault.go
@@ -0,0 +1,74 @@
+// Package wqfault holds the one error type that the libraries return to each
+// other and, through the front ends, to callers and operators.
+//
+// # Usage
+//
+// A library returns a Fault with a kind that programs can switch on and a
+// remedy that a person can act on:
+//
+//	return wqfault.New(wqfault.BadInput, "the timeout is 0 ms", "set timeout_millis to 1 or more")
+//
+// A front end maps the kind to its own status codes with KindOf. Kinds that end
+// a request before anything was sent to a target are the only ones that a
+// caller may take as "not run": see Kind.NotRun.
+package wqfault
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Kind classifies a Fault for programs.
+type Kind string
+
+// The kinds of fault.
+const (
+	BadInput       Kind = "bad_input"       // BadInput means that the request breaks a stated bound; nothing ran.
+	Unknown        Kind = "unknown_name"    // Unknown means that a named tenant, service, ticket or zone does not exist; nothing ran.
+	Overloaded     Kind = "overloaded"      // Overloaded means that admission refused the request; nothing ran.
+	Expired        Kind = "expired"         // Expired means that the deadline passed before anything was sent; nothing ran.
+	Leaving        Kind = "leaving"         // Leaving means that this VM is stopping or taken out; nothing ran.
+	NotReady       Kind = "not_ready"       // NotReady means that this VM has no configuration yet; nothing ran.
+	Incomplete     Kind = "incomplete"      // Incomplete means that the answer misses the coverage that the caller demanded.
+	Conflict       Kind = "conflict"        // Conflict means that another operator's release note was accepted first.
+	Unavailable    Kind = "unavailable"     // Unavailable means that a service of the platform or a peer did not answer.
+	OutcomeUnknown Kind = "outcome_unknown" // OutcomeUnknown means that a write-like request may or may not have run.
+	Denied         Kind = "denied"          // Denied means that the credential is missing or wrong; nothing ran.
+	Broken         Kind = "broken"          // Broken means that a peer or target broke its protocol.
+)
+
+// NotRun reports whether a fault of this kind proves that nothing was run.
+func (k Kind) NotRun() bool {
+	switch k {
+	case BadInput, Unknown, Overloaded, Expired, Leaving, NotReady, Denied, Conflict:
+		return true
+	}
+	return false
+}
+
+// Fault is an error with a kind, a message and the remedy for the reader.
+type Fault struct {
+	Kind    Kind
+	Message string
+	Remedy  string
+}
+
+// New returns a Fault as an error.
+func New(kind Kind, message, remedy string) error {
+	return &Fault{Kind: kind, Message: message, Remedy: remedy}
+}
+
+// Error returns the message followed by the remedy.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("%s: %s; %s", f.Kind, f.Message, f.Remedy)
+}
+
+// KindOf returns the kind of the first Fault in the chain of err, or Broken
+// when there is none.
+func KindOf(err error) Kind {
+	var f *Fault
+	if errors.As(err, &f) {
+		return f.Kind
+	}
+	return Broken
+}
--- /dev/null
+++ b/core/wqview/view.go
@@ -0,0 +1,66 @@
+// Package wqview holds the immutable state that the control goroutine
+// publishes and the traffic goroutines read.
+//
+// # Usage
+//
+// A process keeps one atomic pointer to a View. Traffic goroutines load it once
+// for each decision and never change it:
+//
+//	v := node.View()
+//	if v.Stopping { ... }
+//	for _, h := range v.Holders[searcherID] { ... }
+package wqview
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqtopology"
+)
+
+// View is one consistent picture of the control state.
+type View struct {
+	Self      wqmember.Member
+	Index     *wqtopology.Index
+	Members   map[string]wqmember.Member // Members are the VMs that may be sent work, by id, this one included.
+	Holders   map[string][]Holder        // Holders are the VMs that may open connections to a searcher, by searcher id, best first.
+	Targets   map[string]Target          // Targets holds what is known of a searcher beyond the topology, by id; absent means nothing.
+	Snapshots map[string]uint64          // Snapshots is the newest snapshot seen whole of a service, by name; absent means unknown.
+	FreshAt   time.Time                  // FreshAt is when the control state was last confirmed by a peer or the store.
+	Stopping  bool                       // Stopping is true from the first stop signal on: no new requests.
+	Isolated  bool                       // Isolated is true while too few peers answer to use the shares held.
+}
+
+// Holder is a VM's right to use a share of a searcher.
+type Holder struct {
+	MemberID    string
+	Slots       int // Slots is how many requests at once this VM may send.
+	Connections int // Connections is how many connections this VM may open.
+	ColdSlots   int // ColdSlots is how many requests at once this VM may send in cold start.
+}
+
+// Target is what the control state knows of a searcher.
+type Target struct {
+	Leaving     bool          // Leaving is true once the searcher said that it drains.
+	Down        bool          // Down is true while connections to it fail.
+	Cold        bool          // Cold is true during its cold start.
+	Incarnation string        // Incarnation is the last one that it named.
+	Oldest      uint64        // Oldest is the oldest snapshot that it holds; 0 means unknown.
+	Newest      uint64        // Newest is the newest snapshot that it holds; 0 means unknown.
+	Latency     time.Duration // Latency is a recent typical time of its answers; 0 means unknown.
+}
+
+// Ready reports whether this VM may serve queries.
+func (v *View) Ready() bool {
+	return v != nil && v.Index != nil && v.Index.Topology.Revision > 0 && !v.Stopping && !v.Isolated
+}
+
+// Share returns this VM's own right on a searcher, false when it holds none.
+func (v *View) Share(searcherID string) (Holder, bool) {
+	for _, h := range v.Holders[searcherID] {
+		if h.MemberID == v.Self.ID {
+			return h, true
+		}
+	}
+	return Holder{}, false
+}
