--- a/core/wqtopology/topology.go
+++ b/core/wqtopology/topology.go
@@ -32,6 +32,7 @@
 	Shard       string
 	Slots       int // Slots is how many requests it runs at once, over all VMs.
 	Connections int // Connections is how many it accepts, over all VMs.
+	Batch       int // Batch is how many sub-queries it takes in one request; 0 and 1 mean one.
 	ColdSlots   int // ColdSlots is how many requests it bears at once in cold start, over all VMs.
 	WarmMillis  int // WarmMillis is how long its cold start lasts under light load, in milliseconds.
 }
