--- /dev/null
+++ b/cmd/wisteriaquay/cmd_version.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"runtime/debug"
+)
+
+// version is the release that the changelog describes.
+const version = "0.1.0"
+
+// cmdVersion prints what this program was built from.
+var cmdVersion = &command{
+	Name: "version",
+	Help: "print the version of this program",
+	Action: func(_ context.Context, c console, args []string) error {
+		if _, err := parse(&struct{}{}, "version", args, 0); err != nil {
+			return err
+		}
+		_, err := fmt.Fprintf(c.Out, "wisteriaquay %s %s %s\n", version, revision(), runtime.Version())
+		return err
+	},
+}
+
+// revision returns the commit that the build recorded, if it recorded one.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/cmd/wisteriaquay/command.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"wisteriaquay/core/wqfault"
+)
+
+// Exit codes of the program.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+// console is where a command writes.
+type console struct {
+	Out io.Writer
+	Err io.Writer
+}
+
+// command is one verb of the program.
+type command struct {
+	Name   string
+	Args   string
+	Help   string
+	Action func(ctx context.Context, c console, args []string) error
+}
+
+// commands lists the verbs in the order of the help page.
+func commands() []*command {
+	return []*command{
+		cmdServe,
+		cmdQuery,
+		cmdWrite,
+		cmdVersion,
+	}
+}
+
+// run finds the verb and returns the exit code.
+func run(ctx context.Context, c console, args []string) int {
+	if len(args) == 0 || args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
+		writeHelp(c.Out)
+		return exitDone
+	}
+	for _, m := range commands() {
+		if m.Name == args[0] {
+			return exitCode(c, m, m.Action(ctx, c, args[1:]))
+		}
+	}
+	_, _ = fmt.Fprintf(c.Err, "there is no command %q; run 'wisteriaquay help' for the list\n", args[0])
+	return exitBadInput
+}
+
+func exitCode(c console, m *command, err error) int {
+	if err == nil {
+		return exitDone
+	}
+	if flags.WroteHelp(err) {
+		_, _ = fmt.Fprintln(c.Out, err)
+		return exitDone
+	}
+	_, _ = fmt.Fprintf(c.Err, "wisteriaquay %s: %s\n", m.Name, err)
+	if wqfault.KindOf(err) == wqfault.BadInput {
+		return exitBadInput
+	}
+	return exitFailed
+}
+
+func writeHelp(w io.Writer) {
+	_, _ = fmt.Fprint(w, "Usage: wisteriaquay COMMAND [OPTION...] [ARGUMENT...]\n\n")
+	for _, m := range commands() {
+		_, _ = fmt.Fprintf(w, "  %-24s %s\n", strings.TrimSpace(m.Name+" "+m.Args), m.Help)
+	}
+	_, _ = fmt.Fprint(w, "\nRun 'wisteriaquay COMMAND --help' for its options.\n")
+}
+
+// parse fills options from flags and environment variables and returns the
+// remaining arguments, of which there must be count.
+func parse(options any, usage string, args []string, count int) ([]string, error) {
+	p := flags.NewNamedParser("wisteriaquay", flags.HelpFlag|flags.PassDoubleDash)
+	p.Usage = usage
+	if _, err := p.AddGroup("Options", "", options); err != nil {
+		return nil, err
+	}
+	rest, err := p.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		return nil, err
+	}
+	if err != nil {
+		return nil, wqfault.New(wqfault.BadInput, err.Error(), "run 'wisteriaquay "+usage+" --help' for the options")
+	}
+	if len(rest) != count {
+		message := fmt.Sprintf("%d arguments where %d are wanted", len(rest), count)
+		return nil, wqfault.New(wqfault.BadInput, message, "run 'wisteriaquay "+usage+" --help' for the usage")
+	}
+	return rest, nil
+}
--- /dev/null
+++ b/io/wqmetric/metrics.go
@@ -0,0 +1,109 @@
+// Package wqmetric holds what a VM measures of itself, for each tenant and
+// class.
+//
+// # Usage
+//
+//	m := wqmetric.New()
+//	m.Query(wqmetric.Query{Tenant: "bench", Class: "lookup", Took: took, Coverage: 1})
+//	http.Handle("/metrics", m.Handler())
+//
+// Names of tenants and classes come from the rules, so that a caller can't grow
+// the number of series: pass "unknown" for others.
+package wqmetric
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Query is what one query adds to the metrics.
+type Query struct {
+	Tenant   string
+	Class    string
+	Took     time.Duration
+	Coverage float64 // Coverage is the share of shards answered, 0 to 1.
+	Needed   int     // Needed is how many sub-queries the answer needed.
+	Sent     int     // Sent is how many requests targets were sent for it.
+	Hedges   int
+	Refusal  string // Refusal is the kind of fault, empty for an answer.
+}
+
+// Metrics collects and serves the figures of one process.
+type Metrics struct {
+	registry  *prometheus.Registry
+	latency   *prometheus.HistogramVec
+	coverage  *prometheus.HistogramVec
+	extraLoad *prometheus.HistogramVec
+	needed    *prometheus.CounterVec
+	sent      *prometheus.CounterVec
+	hedges    *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	writes    *prometheus.CounterVec
+}
+
+// New returns metrics with a registry of their own.
+func New() *Metrics {
+	m := &Metrics{registry: prometheus.NewRegistry()}
+	labels := []string{"tenant", "class"}
+	m.latency = histogram("query_seconds", "Time from arrival to the sealed answer, in seconds.", latencyBuckets(), labels)
+	m.coverage = histogram("query_coverage_ratio", "Share of the snapshot's shards that answered.", []float64{0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1}, labels)
+	m.extraLoad = histogram("query_extra_load_ratio", "Requests sent to targets beyond those needed, per one needed.", []float64{0, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1}, labels)
+	m.needed = counter("sub_queries_needed_total", "Sub-queries that answers needed.", labels)
+	m.sent = counter("sub_queries_sent_total", "Requests that targets were sent.", labels)
+	m.hedges = counter("hedges_sent_total", "Hedges that targets were sent.", labels)
+	m.refusals = counter("refusals_total", "Requests refused, by kind of fault.", append(labels, "kind"))
+	m.writes = counter("writes_total", "Write-like requests, by outcome.", append(labels, "outcome"))
+	m.registry.MustRegister(m.latency, m.coverage, m.extraLoad, m.needed, m.sent, m.hedges, m.refusals, m.writes,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+func latencyBuckets() []float64 {
+	return []float64{0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.07, 0.095, 0.15, 0.25, 0.5, 1, 2.5}
+}
+
+func histogram(name, help string, buckets []float64, labels []string) *prometheus.HistogramVec {
+	o := prometheus.HistogramOpts{Namespace: "wisteriaquay", Name: name, Help: help, Buckets: buckets}
+	return prometheus.NewHistogramVec(o, labels)
+}
+
+func counter(name, help string, labels []string) *prometheus.CounterVec {
+	o := prometheus.CounterOpts{Namespace: "wisteriaquay", Name: name, Help: help}
+	return prometheus.NewCounterVec(o, labels)
+}
+
+// Query records one query.
+func (m *Metrics) Query(q Query) {
+	if q.Refusal != "" {
+		m.refusals.WithLabelValues(q.Tenant, q.Class, q.Refusal).Inc()
+		return
+	}
+	m.latency.WithLabelValues(q.Tenant, q.Class).Observe(q.Took.Seconds())
+	m.coverage.WithLabelValues(q.Tenant, q.Class).Observe(q.Coverage)
+	m.needed.WithLabelValues(q.Tenant, q.Class).Add(float64(q.Needed))
+	m.sent.WithLabelValues(q.Tenant, q.Class).Add(float64(q.Sent))
+	m.hedges.WithLabelValues(q.Tenant, q.Class).Add(float64(q.Hedges))
+	if q.Needed > 0 {
+		m.extraLoad.WithLabelValues(q.Tenant, q.Class).Observe(max(0, float64(q.Sent)/float64(q.Needed)-1))
+	}
+}
+
+// Write records the outcome of one write-like request.
+func (m *Metrics) Write(tenant, class, outcome string) {
+	m.writes.WithLabelValues(tenant, class, outcome).Inc()
+}
+
+// Gauge serves a figure that read returns at each scrape.
+func (m *Metrics) Gauge(name, help string, read func() float64) {
+	o := prometheus.GaugeOpts{Namespace: "wisteriaquay", Name: name, Help: help}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(o, read))
+}
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/io/wqsetting/settings.go
@@ -0,0 +1,68 @@
+// Package wqsetting holds the settings of an entry VM, read from flags and
+// environment variables and checked all at once.
+//
+// # Usage
+//
+//	var s wqsetting.Settings
+//	flags.NewParser(&s, flags.Default).ParseArgs(args)
+//	if err := s.Validate(); err != nil { ... } // names every bad setting
+package wqsetting
+
+import "time"
+
+// Settings are the settings of `wisteriaquay serve`. Durations are Go
+// durations such as 250ms; addresses are IP number and port.
+type Settings struct {
+	Identity  Identity  `group:"Identity"`
+	Listeners Listeners `group:"Listeners"`
+	Platform  Platform  `group:"Platform"`
+	Keys      Keys      `group:"Keys"`
+	Limits    Limits    `group:"Limits"`
+}
+
+// Identity says which VM this is.
+type Identity struct {
+	ID     string `long:"id" env:"WISTERIAQUAY_ID" description:"name of this VM, unique at any time; a replacement VM gets a new one"`
+	Zone   string `long:"zone" env:"WISTERIAQUAY_ZONE" description:"availability zone of this VM"`
+	Region string `long:"region" env:"WISTERIAQUAY_REGION" description:"region of this VM"`
+}
+
+// Listeners are the addresses that this VM listens on.
+type Listeners struct {
+	Caller string `long:"caller-listen" env:"WISTERIAQUAY_CALLER_LISTEN" default:"127.0.0.1:7400" description:"address for callers and operators"`
+	Peer   string `long:"peer-listen" env:"WISTERIAQUAY_PEER_LISTEN" default:"127.0.0.1:7401" description:"address for the other VMs, reachable by them as it stands"`
+	Admin  string `long:"admin-listen" env:"WISTERIAQUAY_ADMIN_LISTEN" default:"127.0.0.1:7402" description:"address for /metrics, /livez and /readyz"`
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	Store         string        `long:"store" env:"WISTERIAQUAY_STORE" description:"URL of the configuration store"`
+	StoreTimeout  time.Duration `long:"store-timeout" env:"WISTERIAQUAY_STORE_TIMEOUT" default:"2s" description:"longest wait for one call to the store"`
+	VMList        string        `long:"vm-list" env:"WISTERIAQUAY_VM_LIST" description:"URL of the VM list"`
+	VMListPeriod  time.Duration `long:"vm-list-period" env:"WISTERIAQUAY_VM_LIST_PERIOD" default:"10s" description:"time between two reads of the VM list"`
+	VMListTimeout time.Duration `long:"vm-list-timeout" env:"WISTERIAQUAY_VM_LIST_TIMEOUT" default:"2s" description:"longest wait for one read of the VM list"`
+}
+
+// Keys are PEM texts in the environment, since the VMs have no disks. A value
+// that starts with a slash names a file instead.
+type Keys struct {
+	CallerCertificate string `long:"caller-certificate" env:"WISTERIAQUAY_CALLER_CERTIFICATE" description:"PEM certificate shown to callers and operators, or its path"`
+	CallerKey         string `long:"caller-key" env:"WISTERIAQUAY_CALLER_KEY" description:"PEM private key of the caller certificate, or its path"`
+	PeerCertificate   string `long:"peer-certificate" env:"WISTERIAQUAY_PEER_CERTIFICATE" description:"PEM certificate shown to the other VMs, or its path"`
+	PeerKey           string `long:"peer-key" env:"WISTERIAQUAY_PEER_KEY" description:"PEM private key of the peer certificate, or its path"`
+	PeerAuthority     string `long:"peer-authority" env:"WISTERIAQUAY_PEER_AUTHORITY" description:"PEM certificate of the authority that signs peers, or its path"`
+	OperatorToken     string `long:"operator-token" env:"WISTERIAQUAY_OPERATOR_TOKEN" description:"credential that operators send, at least 16 bytes, or its path"`
+	PlainText         bool   `long:"plain-text" env:"WISTERIAQUAY_PLAIN_TEXT" description:"serve callers and peers without TLS; for a loopback trial only"`
+}
+
+// Limits bound what this VM does.
+type Limits struct {
+	MaxHolders   int           `long:"max-holders" env:"WISTERIAQUAY_MAX_HOLDERS" default:"3" description:"most VMs that connect to one searcher, 1 to 16; equal on all VMs"`
+	Heartbeat    time.Duration `long:"heartbeat" env:"WISTERIAQUAY_HEARTBEAT" default:"500ms" description:"time between two heartbeats that this VM sends; equal on all VMs"`
+	BalancerLag  time.Duration `long:"balancer-lag" env:"WISTERIAQUAY_BALANCER_LAG" default:"2s" description:"how long the balancer may still send callers here after /readyz fails"`
+	StopLimit    time.Duration `long:"stop-limit" env:"WISTERIAQUAY_STOP_LIMIT" default:"45s" description:"longest time from the stop signal to the exit"`
+	TicketLife   time.Duration `long:"ticket-life" env:"WISTERIAQUAY_TICKET_LIFE" default:"30s" description:"how long the ticket of a write-like request may be used"`
+	MaxQueries   int           `long:"max-queries" env:"WISTERIAQUAY_MAX_QUERIES" default:"512" description:"most queries in progress on this VM"`
+	MaxFanOut    int           `long:"max-fan-out" env:"WISTERIAQUAY_MAX_FAN_OUT" default:"4096" description:"most shards that one query may touch"`
+	LogPerSecond int           `long:"log-per-second" env:"WISTERIAQUAY_LOG_PER_SECOND" default:"5" description:"most log lines a second below the level of error"`
+}
