Add the store and VM list clients with their stand-ins

Cause: the thin path needs the platform's key-value service and VM list. Change: io/wqstore (get, compare-and-swap, long-poll watch, leases, each call bounded by Timeout) and io/wqvmlist; test/wqstorestand with outage, hang, delay, lost replies, stale reads, mute watches and call counters; test/wqliststand with lag. A swap whose reply is missing is an outcome_unknown fault, one that never reached the store is unavailable, so that callers can tell them apart. Conclusion: ready to be wired into the thin path.

--- /dev/null
+++ b/io/wqstore/store.go
@@ -0,0 +1,226 @@
+// Package wqstore is the client of the platform's key-value service, which
+// holds everything that must outlive the VMs.
+//
+// The service offers reads, compare-and-swap, long-poll watches and leases; its
+// calls are described in docs/PROTOCOLS.md. Every call ends within Timeout (a
+// watch within its wait and Timeout) and counts once against the service's rate.
+//
+// # Usage
+//
+//	c := &wqstore.Client{Address: "192.0.2.7:2379", Timeout: time.Second, HTTP: http.DefaultClient}
+//	v, err := c.Get(ctx, "head")
+//	revision, err := c.CompareAndSwap(ctx, wqstore.Swap{Key: "head", Data: data, IfRevision: v.Revision})
+//
+// A failed call has the kind wqfault.Unavailable. The one exception is a swap
+// or a lease call that may have taken effect although its reply is missing: it
+// has the kind wqfault.OutcomeUnknown, and the key must be read before the swap
+// is tried again.
+package wqstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriaquay/core/wqfault"
+)
+
+// MaxValue is the largest value that the service holds, in bytes.
+const MaxValue = 1 << 20
+
+// maxReply bounds a reply: a value in base64 and the fields around it, in bytes.
+const maxReply = MaxValue*4/3 + 4096
+
+// Client calls one key-value service over HTTP. It is safe for concurrent use.
+type Client struct {
+	Address string        // Address is host:port, the host an IP number.
+	Scheme  string        // Scheme is http or https; empty means http.
+	Timeout time.Duration // Timeout bounds every call; a watch may take its wait longer.
+	HTTP    *http.Client
+}
+
+// Value is one key's value. Revision 0 means that there is none.
+type Value struct {
+	Key      string
+	Data     []byte
+	Revision uint64 // Revision grows at every write of this key.
+}
+
+// Swap is one compare-and-swap.
+type Swap struct {
+	Key        string
+	Data       []byte // Data is at most MaxValue bytes.
+	IfRevision uint64 // IfRevision is the revision to replace; 0 means that the key must not exist.
+	LeaseID    string // LeaseID removes the key when that lease lapses; empty keeps it.
+}
+
+// Get reads a key; a missing key has revision 0. The value may be stale.
+func (c *Client) Get(ctx context.Context, key string) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	return c.read(ctx, "/v1/values/"+url.PathEscape(key))
+}
+
+// Watch waits until the key's revision is over after, at most wait, and returns
+// the value, or one with revision 0 when nothing changed.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.Timeout)
+	defer cancel()
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("wait_millis", strconv.FormatInt(wait.Milliseconds(), 10))
+	return c.read(ctx, "/v1/watch/"+url.PathEscape(key)+"?"+query.Encode())
+}
+
+// CompareAndSwap replaces a key's value and returns its new revision. When
+// another write came first it returns the revision found and a
+// wqfault.Conflict; when the swap may have taken effect without a reply it
+// returns a wqfault.OutcomeUnknown.
+func (c *Client) CompareAndSwap(ctx context.Context, s Swap) (uint64, error) {
+	if len(s.Data) > MaxValue {
+		message := fmt.Sprintf("the value of %s has %d bytes; the store holds %d", s.Key, len(s.Data), MaxValue)
+		return 0, wqfault.New(wqfault.BadInput, message, "store less under this key")
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	status, body, err := c.call(ctx, http.MethodPut, "/v1/values/"+url.PathEscape(s.Key), struct {
+		Value      []byte `json:"value"`
+		IfRevision uint64 `json:"if_revision"`
+		LeaseID    string `json:"lease_id,omitempty"`
+	}{s.Data, s.IfRevision, s.LeaseID})
+	if err != nil {
+		return 0, err
+	}
+	var reply struct {
+		Revision uint64 `json:"revision"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, unknownEffect("the reply to the swap is not JSON")
+	}
+	if status == http.StatusConflict {
+		message := fmt.Sprintf("%s is at revision %d, not %d", s.Key, reply.Revision, s.IfRevision)
+		return reply.Revision, wqfault.New(wqfault.Conflict, message, "read the key and swap again")
+	}
+	return reply.Revision, nil
+}
+
+// Grant makes a lease that lapses after ttl unless it is renewed, and returns
+// its id.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	_, body, err := c.call(ctx, http.MethodPost, "/v1/leases", struct {
+		TTLMillis int64 `json:"ttl_millis"`
+	}{ttl.Milliseconds()})
+	if err != nil {
+		return "", err
+	}
+	var reply struct {
+		LeaseID string `json:"lease_id"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil || reply.LeaseID == "" {
+		return "", unknownEffect("the reply names no lease")
+	}
+	return reply.LeaseID, nil
+}
+
+// Renew keeps a lease for another time to live. A lapsed lease is a
+// wqfault.Unknown.
+func (c *Client) Renew(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	status, _, err := c.call(ctx, http.MethodPut, "/v1/leases/"+url.PathEscape(id), nil)
+	if err != nil {
+		return err
+	}
+	if status == http.StatusNotFound {
+		return wqfault.New(wqfault.Unknown, "lease "+id+" has lapsed", "take a new lease")
+	}
+	return nil
+}
+
+// Release ends a lease now and removes its keys.
+func (c *Client) Release(ctx context.Context, id string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	_, _, err := c.call(ctx, http.MethodDelete, "/v1/leases/"+url.PathEscape(id), nil)
+	return err
+}
+
+// read returns the value at path, or one with revision 0.
+func (c *Client) read(ctx context.Context, path string) (Value, error) {
+	status, body, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return Value{}, err
+	}
+	if status != http.StatusOK {
+		return Value{}, nil
+	}
+	var reply struct {
+		Key      string `json:"key"`
+		Value    []byte `json:"value"`
+		Revision uint64 `json:"revision"`
+	}
+	if err := json.Unmarshal(body, &reply); err != nil {
+		message := "the store's reply is not the JSON that was asked for"
+		return Value{}, eris.Wrap(wqfault.New(wqfault.Broken, message, "check the store's address"), err.Error())
+	}
+	return Value{Key: reply.Key, Data: reply.Value, Revision: reply.Revision}, nil
+}
+
+// call sends one request and returns the status and the body of an expected
+// reply: 200, 204, 404 or 409.
+func (c *Client) call(ctx context.Context, method, path string, body any) (int, []byte, error) {
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return 0, nil, failure(method, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
+	if err != nil {
+		return 0, nil, failure(method, err)
+	}
+	if len(data) > maxReply {
+		message := fmt.Sprintf("the store's reply has more than %d bytes", maxReply)
+		return 0, nil, wqfault.New(wqfault.Broken, message, "check the store's address")
+	}
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict:
+		return response.StatusCode, data, nil
+	}
+	return 0, nil, failure(method, eris.New("status "+response.Status))
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	scheme := c.Scheme
+	if scheme == "" {
+		scheme = "http"
+	}
+	var payload io.Reader = http.NoBody
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return nil, eris.Wrap(err, "encode the request")
+		}
+		payload = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+c.Address+path, payload)
+	if err != nil {
+		fault := wqfault.New(wqfault.BadInput, "the store's address "+c.Address+" is malformed", "set it to host:port")
+		return nil, eris.Wrap(fault, err.Error())
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
--- /dev/null
+++ b/test/wqliststand/list_test.go
@@ -0,0 +1,30 @@
+package wqliststand_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/io/wqvmlist"
+	"wisteriaquay/test/wqliststand"
+)
+
+func TestListLags(t *testing.T) {
+	s := &wqliststand.Server{}
+	h := httptest.NewServer(s.Handler())
+	defer h.Close()
+	c := &wqvmlist.Client{Address: strings.TrimPrefix(h.URL, "http://"), Timeout: 5 * time.Second, HTTP: h.Client()}
+	one := []wqvmlist.VM{{ID: "vm1", Address: "127.0.0.1:7001", Zone: "a", Region: "r"}}
+	s.Set(one)
+	vms, err := c.List(t.Context())
+	must.NoError(t, err)
+	must.Eq(t, one, vms)
+	s.Lag = time.Hour
+	s.Set(nil)
+	vms, err = c.List(t.Context())
+	must.NoError(t, err)
+	must.SliceEmpty(t, vms, must.Sprint("the first list is younger than the lag too"))
+}
--- /dev/null
+++ b/test/wqstorestand/store_test.go
@@ -0,0 +1,118 @@
+package wqstorestand_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqstore"
+	"wisteriaquay/test/wqstorestand"
+)
+
+// start returns a stand-in and a client of it.
+func start(t *testing.T) (*wqstorestand.Server, *wqstore.Client) {
+	t.Helper()
+	s := &wqstorestand.Server{}
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(h.Close)
+	return s, &wqstore.Client{
+		Address: strings.TrimPrefix(h.URL, "http://"),
+		Timeout: 300 * time.Millisecond,
+		HTTP:    h.Client(),
+	}
+}
+
+func swap(t *testing.T, c *wqstore.Client, data string, after uint64) uint64 {
+	t.Helper()
+	revision, err := c.CompareAndSwap(t.Context(), wqstore.Swap{Key: "head", Data: []byte(data), IfRevision: after})
+	must.NoError(t, err)
+	return revision
+}
+
+func TestSwapConflictNamesTheRevisionFound(t *testing.T) {
+	_, c := start(t)
+	v, err := c.Get(t.Context(), "head")
+	must.NoError(t, err)
+	must.Eq(t, 0, v.Revision)
+	must.Eq(t, 1, swap(t, c, "one", 0))
+	revision, err := c.CompareAndSwap(t.Context(), wqstore.Swap{Key: "head", Data: []byte("two")})
+	must.Eq(t, wqfault.Conflict, wqfault.KindOf(err))
+	must.Eq(t, 1, revision)
+	v, err = c.Get(t.Context(), "head")
+	must.NoError(t, err)
+	must.Eq(t, "one", string(v.Data))
+}
+
+func TestSwapWhoseReplyIsLostHasUnknownEffect(t *testing.T) {
+	s, c := start(t)
+	s.SetFaults(wqstorestand.Faults{LoseReplies: 1})
+	_, err := c.CompareAndSwap(t.Context(), wqstore.Swap{Key: "head", Data: []byte("one")})
+	must.Eq(t, wqfault.OutcomeUnknown, wqfault.KindOf(err))
+	v, err := c.Get(t.Context(), "head")
+	must.NoError(t, err)
+	must.Eq(t, "one", string(v.Data))
+}
+
+func TestEveryCallEndsWhileTheStoreHangs(t *testing.T) {
+	s, c := start(t)
+	s.SetFaults(wqstorestand.Faults{Hang: true})
+	defer s.SetFaults(wqstorestand.Faults{})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := c.Get(ctx, "head")
+	must.Eq(t, wqfault.Unavailable, wqfault.KindOf(err))
+	_, err = c.Watch(ctx, "head", 0, 50*time.Millisecond)
+	must.Eq(t, wqfault.Unavailable, wqfault.KindOf(err))
+	_, err = c.CompareAndSwap(ctx, wqstore.Swap{Key: "head"})
+	must.Eq(t, wqfault.OutcomeUnknown, wqfault.KindOf(err))
+	must.NoError(t, ctx.Err())
+}
+
+func TestStoreThatIsNotReachedChangedNothing(t *testing.T) {
+	c := &wqstore.Client{Address: "127.0.0.1:1", Timeout: time.Second, HTTP: http.DefaultClient}
+	_, err := c.CompareAndSwap(t.Context(), wqstore.Swap{Key: "head"})
+	must.Eq(t, wqfault.Unavailable, wqfault.KindOf(err))
+}
+
+func TestWatchWakesOnChange(t *testing.T) {
+	s, c := start(t)
+	first := swap(t, c, "one", 0)
+	got := make(chan wqstore.Value, 1)
+	go func() {
+		v, _ := c.Watch(t.Context(), "head", first, 5*time.Second)
+		got <- v
+	}()
+	must.Wait(t, waitForWatch(s))
+	swap(t, c, "two", first)
+	must.Eq(t, "two", string((<-got).Data))
+	must.Eq(t, wqstorestand.Counts{Swaps: 2, Watches: 1}, s.Counts())
+}
+
+func TestStaleReadReturnsAnOldValue(t *testing.T) {
+	s, c := start(t)
+	swap(t, c, "two", swap(t, c, "one", 0))
+	s.SetFaults(wqstorestand.Faults{StaleBy: 1})
+	v, err := c.Get(t.Context(), "head")
+	must.NoError(t, err)
+	must.Eq(t, "one", string(v.Data))
+}
+
+func TestLapsedLeaseRemovesItsKey(t *testing.T) {
+	_, c := start(t)
+	id, err := c.Grant(t.Context(), 20*time.Millisecond)
+	must.NoError(t, err)
+	must.NoError(t, c.Renew(t.Context(), id))
+	_, err = c.CompareAndSwap(t.Context(), wqstore.Swap{Key: "owner", Data: []byte("vm1"), LeaseID: id})
+	must.NoError(t, err)
+	time.Sleep(40 * time.Millisecond)
+	must.Eq(t, wqfault.Unknown, wqfault.KindOf(c.Renew(t.Context(), id)))
+	v, err := c.Get(t.Context(), "owner")
+	must.NoError(t, err)
+	must.Eq(t, 0, v.Revision)
+}
--- /dev/null
+++ b/test/wqstorestand/wait_test.go
@@ -0,0 +1,18 @@
+package wqstorestand_test
+
+import (
+	"time"
+
+	"github.com/shoenig/test/wait"
+
+	"wisteriaquay/test/wqstorestand"
+)
+
+// waitForWatch holds until the store has seen a watch.
+func waitForWatch(s *wqstorestand.Server) *wait.Constraint {
+	return wait.InitialSuccess(
+		wait.BoolFunc(func() bool { return s.Counts().Watches > 0 }),
+		wait.Timeout(5*time.Second),
+		wait.Gap(time.Millisecond),
+	)
+}
