Take the store's and the VM list's address as a URL

Cause: the settings name both services by URL. Change: Address is the URL; the Scheme field goes. Conclusion: the settings can be passed through as they are.

--- a/io/wqstore/store.go
+++ b/io/wqstore/store.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c := &wqstore.Client{Address: "192.0.2.7:2379", Timeout: time.Second, HTTP: http.DefaultClient}
+//	c := &wqstore.Client{Address: "http://192.0.2.7:8200", Timeout: time.Second, HTTP: http.DefaultClient}
 //	v, err := c.Get(ctx, "head")
 //	revision, err := c.CompareAndSwap(ctx, wqstore.Swap{Key: "head", Data: data, IfRevision: v.Revision})
 //
@@ -41,8 +41,7 @@
 
 // Client calls one key-value service over HTTP. It is safe for concurrent use.
 type Client struct {
-	Address string        // Address is host:port, the host an IP number.
-	Scheme  string        // Scheme is http or https; empty means http.
+	Address string        // Address is the URL of the service, such as http://192.0.2.7:8200.
 	Timeout time.Duration // Timeout bounds every call; a watch may take its wait longer.
 	HTTP    *http.Client
 }
@@ -204,10 +203,6 @@
 }
 
 func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
-	scheme := c.Scheme
-	if scheme == "" {
-		scheme = "http"
-	}
 	var payload io.Reader = http.NoBody
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -216,9 +211,9 @@
 		}
 		payload = bytes.NewReader(data)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, scheme+"://"+c.Address+path, payload)
+	request, err := http.NewRequestWithContext(ctx, method, c.Address+path, payload)
 	if err != nil {
-		fault := wqfault.New(wqfault.BadInput, "the store's address "+c.Address+" is malformed", "set it to host:port")
+		fault := wqfault.New(wqfault.BadInput, "the store's address "+c.Address+" is malformed", "set it to a URL such as http://192.0.2.7:8200")
 		return nil, eris.Wrap(fault, err.Error())
 	}
 	request.Header.Set("Content-Type", "application/json")
--- a/io/wqvmlist/vmlist.go
+++ b/io/wqvmlist/vmlist.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	c := &wqvmlist.Client{Address: "192.0.2.7:8080", Timeout: time.Second, HTTP: http.DefaultClient}
+//	c := &wqvmlist.Client{Address: "http://192.0.2.7:8080", Timeout: time.Second, HTTP: http.DefaultClient}
 //	vms, err := c.List(ctx)
 package wqvmlist
 
@@ -30,8 +30,7 @@
 
 // Client calls one VM list over HTTP. It is safe for concurrent use.
 type Client struct {
-	Address string        // Address is host:port, the host an IP number.
-	Scheme  string        // Scheme is http or https; empty means http.
+	Address string        // Address is the URL of the service, such as http://192.0.2.7:8200.
 	Timeout time.Duration // Timeout bounds every call.
 	HTTP    *http.Client
 }
@@ -68,11 +67,7 @@
 }
 
 func (c *Client) fetch(ctx context.Context) ([]byte, error) {
-	scheme := c.Scheme
-	if scheme == "" {
-		scheme = "http"
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+"://"+c.Address+"/v1/vms", http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Address+"/v1/vms", http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(broken("the VM list's address "+c.Address+" is malformed"), err.Error())
 	}
