Load keys from settings and check peers and operators

VMs have no disks, so keys come as text in settings, or from files that are read again on a timer and at SIGHUP. Peers need a certificate that their own authority signed for the peers' name; operators need a token whose digest is set. A reload with a fault keeps the keys in force. Tests cover a wrong authority, a wrong name, no certificate, an expired one, an impostor and every missing setting.

--- a/io/wqdial/pool.go
+++ b/io/wqdial/pool.go
@@ -7,7 +7,7 @@
 //
 // Build one pool for the process and release it at the end:
 //
-//	pool, release := wqdial.New(wqdial.Settings{TLS: keys.PeerClient, Connections: 2})
+//	pool, release := wqdial.New(wqdial.Settings{TLS: keys.PeerDial(), Connections: 2})
 //	defer release()
 //	reply, err := pool.PeerClient("10.0.0.7:7100").ForwardWrite(ctx, request)
 //
--- /dev/null
+++ b/io/wqkeys/keys_test.go
@@ -0,0 +1,195 @@
+package wqkeys
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqfault"
+)
+
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	text string
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	must.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	must.NoError(t, err)
+	return authority{cert, key, string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))}
+}
+
+func (a authority) issue(t *testing.T, name string, until time.Time) (string, string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	must.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), DNSNames: []string{name},
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: until,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	must.NoError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	must.NoError(t, err)
+	cert := string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
+	return cert, string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}))
+}
+
+func (a authority) settings(t *testing.T, peerName string) Settings {
+	t.Helper()
+	s := Settings{PeerAuthority: a.text, OperatorDigests: Digest("open sesame")}
+	s.FrontCert, s.FrontKey = a.issue(t, "front", time.Now().Add(time.Hour))
+	s.PeerCert, s.PeerKey = a.issue(t, peerName, time.Now().Add(time.Hour))
+	return s
+}
+
+func newKeys(t *testing.T, s Settings) *Keys {
+	t.Helper()
+	k, err := New(s)
+	must.NoError(t, err)
+	return k
+}
+
+// handshake connects a client to a server and returns the server's error, or
+// the client's.
+func handshake(t *testing.T, server, client *tls.Config) error {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	done := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			err = c.(*tls.Conn).Handshake()
+			_ = c.Close()
+		}
+		done <- err
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c, clientErr := (&tls.Dialer{Config: client}).DialContext(ctx, "tcp", l.Addr().String())
+	if clientErr == nil {
+		_, _ = c.Read(make([]byte, 1))
+		_ = c.Close()
+	}
+	return errors.Join(<-done, clientErr)
+}
+
+func TestPeersOfOneAuthorityConnect(t *testing.T) {
+	a := newAuthority(t)
+	one, two := newKeys(t, a.settings(t, DefaultPeerName)), newKeys(t, a.settings(t, DefaultPeerName))
+	must.NoError(t, handshake(t, one.PeerServer(), two.PeerDial()()))
+}
+
+func TestPeerServerRefusesStrangers(t *testing.T) {
+	a, other := newAuthority(t), newAuthority(t)
+	server := newKeys(t, a.settings(t, DefaultPeerName)).PeerServer()
+	wrongAuthority := newKeys(t, other.settings(t, DefaultPeerName)).PeerDial()()
+	wrongAuthority.RootCAs.AddCert(a.cert)
+	wrongName := newKeys(t, a.settings(t, "front.wisteriaquay")).PeerDial()()
+	noCertificate := newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()().Clone()
+	noCertificate.Certificates = nil
+	expired := newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()().Clone()
+	cert, key := a.issue(t, DefaultPeerName, time.Now().Add(-time.Hour))
+	pair, err := tls.X509KeyPair([]byte(cert), []byte(key))
+	must.NoError(t, err)
+	expired.Certificates = []tls.Certificate{pair}
+	for name, client := range map[string]*tls.Config{
+		"wrong authority": wrongAuthority, "wrong name": wrongName,
+		"no certificate": noCertificate, "expired": expired,
+	} {
+		t.Run(name, func(t *testing.T) { test.Error(t, handshake(t, server, client)) })
+	}
+}
+
+func TestPeerClientRefusesImpostor(t *testing.T) {
+	a, other := newAuthority(t), newAuthority(t)
+	impostor := newKeys(t, other.settings(t, DefaultPeerName)).PeerServer()
+	must.Error(t, handshake(t, impostor, newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()()))
+}
+
+func TestNewListsEveryFault(t *testing.T) {
+	a := newAuthority(t)
+	s := a.settings(t, DefaultPeerName)
+	s.FrontCert, s.FrontKey = a.issue(t, "front", time.Now().Add(-time.Minute))
+	s.PeerKey = ""
+	s.PeerAuthority = "file:" + filepath.Join(t.TempDir(), "absent")
+	s.OperatorDigests = "12"
+	_, err := New(s)
+	must.ErrorContains(t, err, "front certificate expired")
+	must.ErrorContains(t, err, "peer key is not set")
+	must.ErrorContains(t, err, "peer authority cannot be read")
+	must.ErrorContains(t, err, "operator digest 1")
+}
+
+func TestReloadReplacesFileKeys(t *testing.T) {
+	a, next := newAuthority(t), newAuthority(t)
+	s := a.settings(t, DefaultPeerName)
+	path := filepath.Join(t.TempDir(), "authority.pem")
+	must.NoError(t, os.WriteFile(path, []byte(a.text), 0o600))
+	s.PeerAuthority = "file:" + path
+	k := newKeys(t, s)
+	client := newKeys(t, next.settings(t, DefaultPeerName)).PeerDial()()
+	client.RootCAs.AddCert(a.cert)
+	server := k.PeerServer()
+	must.Error(t, handshake(t, server, client))
+	must.NoError(t, os.WriteFile(path, []byte("damaged"), 0o600))
+	must.Error(t, k.Reload())
+	must.NoError(t, os.WriteFile(path, []byte(a.text+next.text), 0o600))
+	must.NoError(t, k.Reload())
+	must.NoError(t, handshake(t, server, client))
+}
+
+func TestRunReloadsAtHangup(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "digests")
+	must.NoError(t, os.WriteFile(path, []byte(Digest("old")), 0o600))
+	k := newKeys(t, Settings{Plain: true, OperatorDigests: "file:" + path})
+	must.NoError(t, k.CheckOperator("Bearer old"))
+	must.NoError(t, os.WriteFile(path, []byte(Digest("new")), 0o600))
+	ctx, cancel := context.WithCancel(t.Context())
+	hangups, done := make(chan os.Signal), make(chan struct{})
+	go func() { k.Run(ctx, hangups); close(done) }()
+	hangups <- os.Interrupt
+	hangups <- os.Interrupt
+	must.NoError(t, k.CheckOperator("Bearer new"))
+	must.Error(t, k.CheckOperator("Bearer old"))
+	cancel()
+	<-done
+}
+
+func TestCheckOperatorDenies(t *testing.T) {
+	k := newKeys(t, Settings{Plain: true, OperatorDigests: Digest("one") + ",\n" + Digest("two")})
+	must.NoError(t, k.CheckOperator("Bearer two"))
+	for _, header := range []string{"", "Bearer ", "Bearer three", "Basic one", "one"} {
+		test.Eq(t, wqfault.Denied, wqfault.KindOf(k.CheckOperator(header)), test.Sprint(header))
+	}
+	none := newKeys(t, Settings{Plain: true})
+	test.Eq(t, wqfault.Denied, wqfault.KindOf(none.CheckOperator("Bearer one")))
+}
