Speak the searchers' protocol and stand in for searchers

Cause: holders need a client that proves what was not sent, and tests need a searcher with limits, cold start and faults. Change: io/wqtarget writes each request once over counted connections and types every failure by what left the process; test/wqsearcher plays the other side.

--- /dev/null
+++ b/io/wqtarget/client.go
@@ -0,0 +1,133 @@
+// Package wqtarget speaks the searchers' protocol: HTTP and JSON over kept
+// connections, at most as many as this VM's share of each searcher.
+//
+// A request is written once. The client never repeats one, follows no redirect
+// and uses no proxy, and it watches each connection to know whether any byte
+// of a request may have left. Every reply is bounded before it is decoded and
+// must carry the ids of its request; otherwise its connection is closed.
+//
+// # Usage
+//
+//	client, closeClient := wqtarget.New()
+//	defer closeClient()
+//	client.Lost = func(searcherID string) { ... }
+//	client.Limit(searcher, 10)
+//	reply, err := client.Search(ctx, searcher, []wqtarget.Query{{RequestID: "q-17", ...}})
+//	if err != nil {
+//		failure := wqtarget.FailureOf(err)
+//	}
+//
+// A Reply that comes with an error holds the searcher's incarnation and
+// coldness when the error is the searcher's own refusal.
+package wqtarget
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wisteriaquay/core/wqtopology"
+)
+
+const (
+	// headerBytes bounds the header of a reply, in bytes.
+	headerBytes = 16 << 10
+	// defaultConnectTimeout bounds the making of a connection.
+	defaultConnectTimeout = 500 * time.Millisecond
+	// defaultReplyBytes bounds the body of a reply, in bytes.
+	defaultReplyBytes = 8 << 20
+)
+
+// Client sends requests to searchers. Set the exported fields before the first
+// request; all methods are safe for concurrent use.
+type Client struct {
+	ConnectTimeout time.Duration           // ConnectTimeout bounds the making of a connection.
+	ReplyBytes     int64                   // ReplyBytes bounds the body of a reply, in bytes.
+	Lost           func(searcherID string) // Lost is called when a searcher closes an idle connection: it may have restarted.
+
+	mu    sync.RWMutex
+	links map[string]*link
+}
+
+// New returns a Client and the function that closes its connections.
+func New() (*Client, func()) {
+	c := &Client{
+		ConnectTimeout: defaultConnectTimeout,
+		ReplyBytes:     defaultReplyBytes,
+		Lost:           func(string) {},
+		links:          make(map[string]*link),
+	}
+	return c, c.closeAll
+}
+
+// Limit sets how many connections to a searcher may be open at once. Those
+// above a lowered limit close as they become idle.
+func (c *Client) Limit(s *wqtopology.Searcher, connections int) {
+	c.link(s).setLimit(connections)
+}
+
+// Forget closes the idle connections to a searcher that is no longer held.
+func (c *Client) Forget(searcherID string) {
+	c.mu.Lock()
+	l := c.links[searcherID]
+	delete(c.links, searcherID)
+	c.mu.Unlock()
+	if l != nil {
+		l.setLimit(0)
+		l.transport.CloseIdleConnections()
+	}
+}
+
+// Warm opens connections until n are open, at most this VM's share. It returns
+// the first error; connections that were made stay open.
+func (c *Client) Warm(ctx context.Context, s *wqtopology.Searcher, n int) error {
+	errs := make(chan error, n)
+	for range n {
+		go func() {
+			_, err := c.Health(ctx, s)
+			errs <- err
+		}()
+	}
+	var first error
+	for range n {
+		if err := <-errs; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (c *Client) link(s *wqtopology.Searcher) *link {
+	c.mu.RLock()
+	l := c.links[s.ID]
+	c.mu.RUnlock()
+	base := "http://" + s.Address
+	if l != nil && l.base == base {
+		return l
+	}
+	return c.makeLink(s, base)
+}
+
+func (c *Client) makeLink(s *wqtopology.Searcher, base string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[s.ID]
+	if l != nil && l.base == base {
+		return l
+	}
+	if l != nil {
+		l.transport.CloseIdleConnections()
+	}
+	id := s.ID
+	l = newLink(s, c.ConnectTimeout, func() { c.Lost(id) })
+	c.links[id] = l
+	return l
+}
+
+func (c *Client) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.transport.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/io/wqtarget/connection.go
@@ -0,0 +1,94 @@
+package wqtarget
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// The phases of a connection, kept in the low bits of its state; the high bits
+// number the request.
+const (
+	phaseIdle    uint64 = iota // no request; the state is the number alone
+	phaseFresh                 // a request, nothing written yet
+	phaseSealed                // nothing written, and nothing may be any more
+	phaseWriting               // a byte may have been written
+	phaseStep                  // the distance between two requests
+	phaseMask    = phaseStep - 1
+)
+
+// connection knows whether any byte of the present request may have left.
+type connection struct {
+	net.Conn
+	link   *link
+	state  atomic.Uint64
+	failed atomic.Bool // failed is true once a read failed.
+	closed atomic.Bool
+	lost   sync.Once
+}
+
+// begin starts the next request and returns its number.
+func (c *connection) begin() uint64 {
+	for {
+		old := c.state.Load()
+		number := old&^phaseMask + phaseStep
+		if c.state.CompareAndSwap(old, number|phaseFresh) {
+			return number
+		}
+	}
+}
+
+// end leaves the connection idle after a whole reply, unless the next request
+// has begun.
+func (c *connection) end(number uint64) {
+	if c.state.CompareAndSwap(number|phaseWriting, number) && c.failed.Load() {
+		c.reportLost()
+	}
+}
+
+// seal forbids further writing for a request and reports whether a byte of it
+// may have left.
+func (c *connection) seal(number uint64) bool {
+	if c.state.CompareAndSwap(number|phaseFresh, number|phaseSealed) {
+		return false
+	}
+	return c.state.Load() != number|phaseSealed
+}
+
+// Write passes b on unless the request is sealed.
+func (c *connection) Write(b []byte) (int, error) {
+	state := c.state.Load()
+	first := state&phaseMask == phaseFresh && c.state.CompareAndSwap(state, state&^phaseMask|phaseWriting)
+	if !first && c.state.Load()&phaseMask != phaseWriting {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Write(b)
+	if first && n == 0 && err != nil {
+		c.state.Store(state&^phaseMask | phaseSealed)
+	}
+	return n, err
+}
+
+// Read notices when the searcher closes an idle connection.
+func (c *connection) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && !c.closed.Load() {
+		c.failed.Store(true)
+		if c.state.Load()&phaseMask == phaseIdle {
+			c.reportLost()
+		}
+	}
+	return n, err
+}
+
+func (c *connection) reportLost() { c.lost.Do(c.link.lost) }
+
+// Close closes the connection and returns it to the share.
+func (c *connection) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	err := c.Conn.Close()
+	c.link.release()
+	return err
+}
--- /dev/null
+++ b/io/wqtarget/decode.go
@@ -0,0 +1,89 @@
+package wqtarget
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"wisteriaquay/core/wqreport"
+)
+
+func (x *exchange) finishSearch(raw []byte, batch []Query) (Reply, error) {
+	reply, err := decodeReply(raw)
+	if err != nil {
+		return Reply{}, x.broken(err.Error())
+	}
+	if x.status == http.StatusServiceUnavailable {
+		return reply, x.refusal(reply.Refusal)
+	}
+	if err := checkReply(&reply, batch); err != nil {
+		return Reply{}, x.broken(err.Error())
+	}
+	x.conn.end(x.number)
+	return reply, nil
+}
+
+func (x *exchange) finishWrite(raw []byte, w Write) (WriteReply, error) {
+	var reply WriteReply
+	if err := json.Unmarshal(raw, &reply); err != nil {
+		return WriteReply{}, x.broken("the reply is not valid: " + err.Error())
+	}
+	if x.status == http.StatusServiceUnavailable {
+		return reply, x.refusal(reply.Refusal)
+	}
+	if reply.RequestID != w.RequestID {
+		return WriteReply{}, x.broken(fmt.Sprintf("the reply names request %q instead of %q", reply.RequestID, w.RequestID))
+	}
+	x.conn.end(x.number)
+	return reply, nil
+}
+
+// refusal accepts only the searcher's own words; any other 503 proves nothing.
+func (x *exchange) refusal(r Refusal) error {
+	switch r.Status() {
+	case wqreport.Answered, wqreport.Broken:
+		return x.broken("status 503 without a known refusal")
+	}
+	x.conn.end(x.number)
+	return x.wrap(refused(x.searcher.ID, r))
+}
+
+func decodeReply(raw []byte) (Reply, error) {
+	var reply Reply
+	if err := json.Unmarshal(raw, &reply); err != nil {
+		return Reply{}, fmt.Errorf("the reply is not valid: %w", err)
+	}
+	return reply, nil
+}
+
+// checkReply verifies that the results are those of the batch, one each.
+func checkReply(reply *Reply, batch []Query) error {
+	if len(reply.Results) != len(batch) {
+		return fmt.Errorf("the reply has %d results for %d queries", len(reply.Results), len(batch))
+	}
+	for i := range batch {
+		if err := checkResult(&reply.Results[i], &batch[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkResult(r *Result, q *Query) error {
+	if r.RequestID != q.RequestID || r.Shard != q.Shard {
+		return fmt.Errorf("a result names request %q and shard %q instead of %q and %q", r.RequestID, r.Shard, q.RequestID, q.Shard)
+	}
+	if r.Refusal.Status() == wqreport.Broken {
+		return fmt.Errorf("a result has the unknown refusal %q", r.Refusal)
+	}
+	if r.Refusal != "" {
+		return nil
+	}
+	if q.Snapshot != 0 && r.Snapshot != q.Snapshot {
+		return fmt.Errorf("a result is of snapshot %d instead of %d", r.Snapshot, q.Snapshot)
+	}
+	if len(r.Rows) > q.Limit || int(r.Matched) < len(r.Rows) {
+		return fmt.Errorf("a result has %d rows of %d matches for the limit %d", len(r.Rows), r.Matched, q.Limit)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/wqtarget/exchange.go
@@ -0,0 +1,148 @@
+package wqtarget
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/rotisserie/eris"
+
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+)
+
+// Search sends a batch of sub-queries in one request. The error is a Failure;
+// the results of a nil error are as many as the queries and in their order.
+func (c *Client) Search(ctx context.Context, s *wqtopology.Searcher, batch []Query) (Reply, error) {
+	body, err := json.Marshal(struct {
+		Queries []Query `json:"queries"`
+	}{batch})
+	if err != nil {
+		return Reply{}, newFailure(wqreport.NotRun, false, err.Error())
+	}
+	x := exchange{client: c, searcher: s}
+	raw, err := x.run(ctx, http.MethodPost, "/v1/search", body)
+	if err != nil {
+		return Reply{}, err
+	}
+	return x.finishSearch(raw, batch)
+}
+
+// Write sends one write-like request. The error is a Failure whose NotRun tells
+// whether it is proved that nothing ran.
+func (c *Client) Write(ctx context.Context, s *wqtopology.Searcher, w Write) (WriteReply, error) {
+	body, err := json.Marshal(w)
+	if err != nil {
+		return WriteReply{}, newFailure(wqreport.NotRun, false, err.Error())
+	}
+	x := exchange{client: c, searcher: s}
+	raw, err := x.run(ctx, http.MethodPost, "/v1/write", body)
+	if err != nil {
+		return WriteReply{}, err
+	}
+	return x.finishWrite(raw, w)
+}
+
+// Health asks the searcher about itself. The error is a Failure.
+func (c *Client) Health(ctx context.Context, s *wqtopology.Searcher) (Health, error) {
+	x := exchange{client: c, searcher: s}
+	raw, err := x.run(ctx, http.MethodGet, "/v1/health", nil)
+	if err != nil {
+		return Health{}, err
+	}
+	var h Health
+	if err := json.Unmarshal(raw, &h); err != nil {
+		return Health{}, x.broken("the health reply is not valid: " + err.Error())
+	}
+	x.conn.end(x.number)
+	return h, nil
+}
+
+// exchange is one request and its reply.
+type exchange struct {
+	client   *Client
+	searcher *wqtopology.Searcher
+	conn     *connection
+	number   uint64 // number is the request's on its connection.
+	status   int
+}
+
+// run writes the request once and returns the bounded body of a reply with
+// status 200 or 503.
+func (x *exchange) run(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	l := x.client.link(x.searcher)
+	defer l.trim()
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		x.conn = i.Conn.(*connection)
+		x.number = x.conn.begin()
+	}}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, l.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, newFailure(wqreport.Unreachable, false, err.Error())
+	}
+	request.GetBody = nil // The transport must not repeat a request.
+	request.Header.Set("Content-Type", "application/json")
+	response, err := l.transport.RoundTrip(request)
+	if err != nil {
+		return nil, x.failed(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	x.status = response.StatusCode
+	return x.read(ctx, response)
+}
+
+func (x *exchange) read(ctx context.Context, response *http.Response) ([]byte, error) {
+	bound := x.client.ReplyBytes
+	if response.ContentLength > bound {
+		return nil, x.broken(fmt.Sprintf("the reply of %d bytes is over the bound of %d", response.ContentLength, bound))
+	}
+	if x.status != http.StatusOK && x.status != http.StatusServiceUnavailable {
+		return nil, x.broken(fmt.Sprintf("unexpected status %d", x.status))
+	}
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 {
+		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+	}
+	n, err := buffer.ReadFrom(io.LimitReader(response.Body, bound+1))
+	if err != nil {
+		return nil, x.failed(ctx, err)
+	}
+	if n > bound {
+		return nil, x.broken(fmt.Sprintf("the reply is over the bound of %d bytes", bound))
+	}
+	return buffer.Bytes(), nil
+}
+
+// failed classifies an error of the transport by what left the process.
+func (x *exchange) failed(ctx context.Context, cause error) error {
+	sent := x.conn != nil && x.conn.seal(x.number)
+	x.drop()
+	status := wqreport.Unreachable
+	switch {
+	case ctx.Err() != nil:
+		status = wqreport.Expired
+	case sent:
+		status = wqreport.Broken
+	}
+	return x.wrap(newFailure(status, sent, cause.Error()))
+}
+
+// broken closes the connection of a reply that breaks the protocol.
+func (x *exchange) broken(message string) error {
+	x.drop()
+	return x.wrap(newFailure(wqreport.Broken, true, message))
+}
+
+func (x *exchange) drop() {
+	if x.conn != nil {
+		_ = x.conn.Close()
+	}
+}
+
+func (x *exchange) wrap(f *Failure) error {
+	return eris.Wrapf(f, "searcher %s", x.searcher.ID)
+}
--- /dev/null
+++ b/io/wqtarget/failure.go
@@ -0,0 +1,71 @@
+package wqtarget
+
+import (
+	"errors"
+	"fmt"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqreport"
+)
+
+// Failure is the error of an exchange that brought no usable reply.
+type Failure struct {
+	Status wqreport.Status
+	Sent   bool // Sent is true when a byte of the request may have reached the searcher.
+	Fault  *wqfault.Fault
+}
+
+// Error returns the fault's message and remedy.
+func (f *Failure) Error() string { return f.Fault.Error() }
+
+// Unwrap returns the Fault, so that wqfault.KindOf works.
+func (f *Failure) Unwrap() error { return f.Fault }
+
+// NotRun reports whether it is proved that the searcher did not run the request.
+func (f *Failure) NotRun() bool {
+	switch f.Status {
+	case wqreport.Shed, wqreport.Draining, wqreport.NotRun, wqreport.SnapshotGone:
+		return true
+	}
+	return !f.Sent
+}
+
+// FailureOf returns the first Failure in the chain of err. An error without
+// one counts as Broken and sent, the worst case.
+func FailureOf(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return newFailure(wqreport.Broken, true, err.Error())
+}
+
+func newFailure(status wqreport.Status, sent bool, message string) *Failure {
+	kind, remedy := explain(status, sent)
+	return &Failure{
+		Status: status,
+		Sent:   sent,
+		Fault:  &wqfault.Fault{Kind: kind, Message: message, Remedy: remedy},
+	}
+}
+
+func refused(searcherID string, r Refusal) *Failure {
+	return newFailure(r.Status(), true, fmt.Sprintf("searcher %s refused with %q", searcherID, r))
+}
+
+func explain(status wqreport.Status, sent bool) (wqfault.Kind, string) {
+	switch status {
+	case wqreport.Shed, wqreport.NotRun:
+		return wqfault.Overloaded, "send the request to another replica or later"
+	case wqreport.Draining:
+		return wqfault.Leaving, "send the request to another replica"
+	case wqreport.Expired:
+		if !sent {
+			return wqfault.Expired, "allow more time"
+		}
+		return wqfault.OutcomeUnknown, "allow more time; do not repeat a write-like request"
+	case wqreport.Unreachable:
+		return wqfault.Unavailable, "check that the searcher runs and accepts connections; nothing was sent"
+	}
+	return wqfault.Broken, "check the searcher's version and the network; do not repeat a write-like request"
+}
--- /dev/null
+++ b/test/wqsearcher/rows.go
@@ -0,0 +1,41 @@
+package wqsearcher
+
+import (
+	"fmt"
+	"hash/fnv"
+	"sort"
+
+	"wisteriaquay/io/wqtarget"
+)
+
+// mostMatches bounds how many rows of a shard match a query.
+const mostMatches = 6
+
+// Rows returns the rows of a shard that match a query at a snapshot, best
+// first, so that a checker can work out what an answer must hold.
+func Rows(service, shard string, snapshot uint64, body []byte) []wqtarget.Row {
+	seed := hash(service, shard, snapshot, body)
+	rows := make([]wqtarget.Row, 1+seed%mostMatches)
+	for i := range rows {
+		h := hash(service, shard, seed+uint64(i), nil)
+		rows[i] = wqtarget.Row{
+			Key:   fmt.Sprintf("%s-%08x", shard, uint32(h)),
+			Score: float64(h>>40) / float64(1<<24),
+			Body:  fmt.Appendf(nil, "%s/%s@%d", service, shard, snapshot),
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].Score != rows[j].Score {
+			return rows[i].Score > rows[j].Score
+		}
+		return rows[i].Key < rows[j].Key
+	})
+	return rows
+}
+
+func hash(service, shard string, number uint64, body []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00", service, shard, number)
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
