--- a/io/wqsetting/settings.go
+++ b/io/wqsetting/settings.go
@@ -44,14 +44,15 @@
 }
 
 // Keys are PEM texts in the environment, since the VMs have no disks. A value
-// that starts with a slash names a file instead.
+// that starts with "file:" names a file instead.
 type Keys struct {
-	CallerCertificate string `long:"caller-certificate" env:"WISTERIAQUAY_CALLER_CERTIFICATE" description:"PEM certificate shown to callers and operators, or its path"`
-	CallerKey         string `long:"caller-key" env:"WISTERIAQUAY_CALLER_KEY" description:"PEM private key of the caller certificate, or its path"`
-	PeerCertificate   string `long:"peer-certificate" env:"WISTERIAQUAY_PEER_CERTIFICATE" description:"PEM certificate shown to the other VMs, or its path"`
-	PeerKey           string `long:"peer-key" env:"WISTERIAQUAY_PEER_KEY" description:"PEM private key of the peer certificate, or its path"`
-	PeerAuthority     string `long:"peer-authority" env:"WISTERIAQUAY_PEER_AUTHORITY" description:"PEM certificate of the authority that signs peers, or its path"`
-	OperatorToken     string `long:"operator-token" env:"WISTERIAQUAY_OPERATOR_TOKEN" description:"credential that operators send, at least 16 bytes, or its path"`
+	CallerCertificate string `long:"caller-certificate" env:"WISTERIAQUAY_CALLER_CERTIFICATE" description:"PEM certificate shown to callers and operators, or file:PATH"`
+	CallerKey         string `long:"caller-key" env:"WISTERIAQUAY_CALLER_KEY" description:"PEM private key of the caller certificate, or file:PATH"`
+	PeerCertificate   string `long:"peer-certificate" env:"WISTERIAQUAY_PEER_CERTIFICATE" description:"PEM certificate shown to the other VMs, or file:PATH"`
+	PeerKey           string `long:"peer-key" env:"WISTERIAQUAY_PEER_KEY" description:"PEM private key of the peer certificate, or file:PATH"`
+	PeerAuthority     string `long:"peer-authority" env:"WISTERIAQUAY_PEER_AUTHORITY" description:"PEM certificate of the authority that signs peers and nothing else, or file:PATH"`
+	PeerName          string `long:"peer-name" env:"WISTERIAQUAY_PEER_NAME" default:"peer.wisteriaquay" description:"DNS name that the certificates of peers carry"`
+	OperatorDigests   string `long:"operator-digests" env:"WISTERIAQUAY_OPERATOR_DIGESTS" description:"SHA-256 digests in hexadecimal of the operators' tokens, separated by commas, or file:PATH"`
 	PlainText         bool   `long:"plain-text" env:"WISTERIAQUAY_PLAIN_TEXT" description:"serve callers and peers without TLS; for a loopback trial only"`
 }
 
--- a/io/wqsetting/validate.go
+++ b/io/wqsetting/validate.go
@@ -13,7 +13,6 @@
 // Bounds of the settings.
 const (
 	maxNameBytes   = 64
-	minTokenBytes  = 16
 	maxHoldersMost = 16
 	maxQueriesMost = 1 << 16
 	maxFanOutMost  = 1 << 16
@@ -75,7 +74,7 @@
 }
 
 func (k *Keys) check(f *faults) {
-	f.add(len(k.OperatorToken) < minTokenBytes, "--operator-token has %d bytes: use at least %d random ones", len(k.OperatorToken), minTokenBytes)
+	f.add(k.OperatorDigests == "", "--operator-digests is empty: set the output of 'printf %%s TOKEN | sha256sum' for each operator")
 	if k.PlainText {
 		return
 	}
