--- a/cmd/wisteriaquay/cmd_query.go
+++ b/cmd/wisteriaquay/cmd_query.go
@@ -9,6 +9,7 @@
 
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
+	"wisteriaquay/io/wqrefusal"
 )
 
 type queryOptions struct {
@@ -49,7 +50,7 @@
 		Limit:         o.Limit,
 	}))
 	if err != nil {
-		return asFault(err)
+		return wqrefusal.From(err)
 	}
 	return writeAnswer(c, response.Msg)
 }
--- a/cmd/wisteriaquay/cmd_write.go
+++ b/cmd/wisteriaquay/cmd_write.go
@@ -9,6 +9,7 @@
 	"wisteriaquay/core/wqfault"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
+	"wisteriaquay/io/wqrefusal"
 )
 
 type writeOptions struct {
@@ -44,7 +45,7 @@
 			Ticket: o.Ticket, TimeoutMillis: uint32(o.Timeout.Milliseconds()),
 		}))
 		if err != nil {
-			return asFault(err)
+			return wqrefusal.From(err)
 		}
 		return writeOutcome(c, r.Msg)
 	}
@@ -61,7 +62,7 @@
 		TimeoutMillis: uint32(o.Timeout.Milliseconds()),
 	}))
 	if err != nil {
-		return asFault(err)
+		return wqrefusal.From(err)
 	}
 	return writeOutcome(c, r.Msg)
 }
@@ -74,7 +75,7 @@
 	}
 	r, err := client.Ticket(ctx, connect.NewRequest(&wqpb.TicketRequest{Tenant: o.Tenant, Class: o.Class, Service: o.Service}))
 	if err != nil {
-		return asFault(err)
+		return wqrefusal.From(err)
 	}
 	o.Ticket = r.Msg.GetTicket()
 	_, err = fmt.Fprintf(c.Out, "ticket %s\n", o.Ticket)
--- /dev/null
+++ b/io/wqcaller/caller.go
@@ -0,0 +1,137 @@
+// Package wqcaller is the front end for callers: it translates connect messages
+// to the plain structs of the entry VM and back.
+//
+// # Usage
+//
+//	h := &wqcaller.Handler{Queries: entry, Writes: writer, Metrics: metrics}
+//	path, handler := wqpbconnect.NewQueryServiceHandler(h)
+package wqcaller
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqentry"
+	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/io/wqrefusal"
+)
+
+// queries answers queries.
+type queries interface {
+	Query(ctx context.Context, r *wqentry.Request) (wqanswer.Answer, error)
+}
+
+// writes runs write-like requests at most once.
+type writes interface {
+	Ticket(ctx context.Context, r *wqpb.TicketRequest) (*wqpb.TicketResponse, error)
+	Write(ctx context.Context, r *wqpb.WriteRequest) (*wqpb.WriteResponse, error)
+	Outcome(ctx context.Context, r *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error)
+}
+
+// Handler serves wqpbconnect.QueryServiceHandler. Set the fields before use.
+type Handler struct {
+	Queries queries
+	Writes  writes
+	Metrics *wqmetric.Metrics
+}
+
+// Query answers one query; a refusal carries a wqpb.Refusal.
+func (h *Handler) Query(ctx context.Context, r *connect.Request[wqpb.QueryRequest]) (*connect.Response[wqpb.QueryResponse], error) {
+	start := time.Now()
+	answer, err := h.Queries.Query(ctx, request(r.Msg))
+	h.record(r.Msg, &answer, err, time.Since(start))
+	if err != nil {
+		return nil, wqrefusal.To(err)
+	}
+	return connect.NewResponse(response(&answer)), nil
+}
+
+func request(m *wqpb.QueryRequest) *wqentry.Request {
+	return &wqentry.Request{
+		RequestID:     m.GetRequestId(),
+		Tenant:        m.GetTenant(),
+		Class:         m.GetClass(),
+		Service:       m.GetService(),
+		Body:          m.GetBody(),
+		Timeout:       time.Duration(m.GetTimeoutMillis()) * time.Millisecond,
+		LeastCoverage: m.GetLeastCoverage(),
+		Limit:         int(m.GetLimit()),
+	}
+}
+
+func response(a *wqanswer.Answer) *wqpb.QueryResponse {
+	m := &wqpb.QueryResponse{
+		RequestId:      a.RequestID,
+		Snapshot:       a.Snapshot,
+		ShardsTotal:    uint32(a.ShardsTotal),
+		ShardsAnswered: uint32(a.ShardsAnswered),
+		SubQueriesSent: uint32(a.SubQueriesSent),
+		HedgesSent:     uint32(a.HedgesSent),
+		Revision:       a.Revision,
+	}
+	for _, s := range a.Missing {
+		m.Missing = append(m.Missing, &wqpb.MissingShard{Shard: s.Shard, Reason: string(s.Reason)})
+	}
+	for _, r := range a.Rows {
+		m.Rows = append(m.Rows, &wqpb.Row{Shard: r.Shard, Key: r.Key, Score: r.Score, Body: r.Body})
+	}
+	for _, c := range a.Counts {
+		m.Counts = append(m.Counts, &wqpb.ShardCount{Shard: c.Shard, Matched: c.Matched})
+	}
+	return m
+}
+
+// record counts a query under its tenant and class; names that no rule has
+// count as unknown, so that callers can't grow the number of series.
+func (h *Handler) record(m *wqpb.QueryRequest, a *wqanswer.Answer, err error, took time.Duration) {
+	q := wqmetric.Query{
+		Tenant:   m.GetTenant(),
+		Class:    m.GetClass(),
+		Took:     took,
+		Coverage: a.Coverage(),
+		Needed:   a.ShardsTotal,
+		Sent:     a.SubQueriesSent,
+		Hedges:   a.HedgesSent,
+	}
+	if err != nil {
+		q.Refusal = string(wqfault.KindOf(err))
+	}
+	switch wqfault.Kind(q.Refusal) {
+	case wqfault.Unknown, wqfault.BadInput, wqfault.NotReady, wqfault.Leaving:
+		q.Tenant, q.Class = wqmetric.Unknown, wqmetric.Unknown
+	}
+	h.Metrics.Query(q)
+}
+
+// Ticket mints the id of one write-like request.
+func (h *Handler) Ticket(ctx context.Context, r *connect.Request[wqpb.TicketRequest]) (*connect.Response[wqpb.TicketResponse], error) {
+	m, err := h.Writes.Ticket(ctx, r.Msg)
+	if err != nil {
+		return nil, wqrefusal.To(err)
+	}
+	return connect.NewResponse(m), nil
+}
+
+// Write runs a write-like request at most once.
+func (h *Handler) Write(ctx context.Context, r *connect.Request[wqpb.WriteRequest]) (*connect.Response[wqpb.WriteResponse], error) {
+	m, err := h.Writes.Write(ctx, r.Msg)
+	if err != nil {
+		return nil, wqrefusal.To(err)
+	}
+	h.Metrics.Write(r.Msg.GetTenant(), r.Msg.GetClass(), m.GetOutcome().String())
+	return connect.NewResponse(m), nil
+}
+
+// Outcome tells what became of a write-like request.
+func (h *Handler) Outcome(ctx context.Context, r *connect.Request[wqpb.OutcomeRequest]) (*connect.Response[wqpb.WriteResponse], error) {
+	m, err := h.Writes.Outcome(ctx, r.Msg)
+	if err != nil {
+		return nil, wqrefusal.To(err)
+	}
+	return connect.NewResponse(m), nil
+}
--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -20,6 +20,9 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+// Unknown is the label of requests whose tenant and class no rule names.
+const Unknown = "unknown"
+
 // Query is what one query adds to the metrics.
 type Query struct {
 	Tenant   string
--- /dev/null
+++ b/io/wqrefusal/refusal_test.go
@@ -0,0 +1,16 @@
+package wqrefusal
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqfault"
+)
+
+func TestFaultSurvivesTheWay(t *testing.T) {
+	sent := wqfault.New(wqfault.Overloaded, "512 queries are in progress", "retry after the given time")
+	got := From(To(sent))
+	must.Eq(t, sent.Error(), got.Error())
+	must.Eq(t, wqfault.Overloaded, wqfault.KindOf(got))
+}
