Take the keys from the common settings

The settings name the keys of callers, peers and operators already, with a leading slash for a path. The package reads those and has no settings of its own. An operator token is one of several separated by white space, each 16 to 512 bytes; only digests stay in memory.

--- a/io/wqkeys/keys_test.go
+++ b/io/wqkeys/keys_test.go
@@ -20,6 +20,12 @@
 	"github.com/shoenig/test/must"
 
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqsetting"
+)
+
+const (
+	tokenOne = "one-token-of-operators"
+	tokenTwo = "two-token-of-operators"
 )
 
 type authority struct {
@@ -61,15 +67,15 @@
 	return cert, string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}))
 }
 
-func (a authority) settings(t *testing.T, peerName string) Settings {
+func (a authority) settings(t *testing.T, peerName string) wqsetting.Keys {
 	t.Helper()
-	s := Settings{PeerAuthority: a.text, OperatorDigests: Digest("open sesame")}
-	s.FrontCert, s.FrontKey = a.issue(t, "front", time.Now().Add(time.Hour))
-	s.PeerCert, s.PeerKey = a.issue(t, peerName, time.Now().Add(time.Hour))
+	s := wqsetting.Keys{PeerAuthority: a.text, OperatorToken: tokenOne}
+	s.CallerCertificate, s.CallerKey = a.issue(t, "caller", time.Now().Add(time.Hour))
+	s.PeerCertificate, s.PeerKey = a.issue(t, peerName, time.Now().Add(time.Hour))
 	return s
 }
 
-func newKeys(t *testing.T, s Settings) *Keys {
+func newKeys(t *testing.T, s wqsetting.Keys) *Keys {
 	t.Helper()
 	k, err := New(s)
 	must.NoError(t, err)
@@ -104,20 +110,20 @@
 
 func TestPeersOfOneAuthorityConnect(t *testing.T) {
 	a := newAuthority(t)
-	one, two := newKeys(t, a.settings(t, DefaultPeerName)), newKeys(t, a.settings(t, DefaultPeerName))
+	one, two := newKeys(t, a.settings(t, PeerName)), newKeys(t, a.settings(t, PeerName))
 	must.NoError(t, handshake(t, one.PeerServer(), two.PeerDial()()))
 }
 
 func TestPeerServerRefusesStrangers(t *testing.T) {
 	a, other := newAuthority(t), newAuthority(t)
-	server := newKeys(t, a.settings(t, DefaultPeerName)).PeerServer()
-	wrongAuthority := newKeys(t, other.settings(t, DefaultPeerName)).PeerDial()()
+	server := newKeys(t, a.settings(t, PeerName)).PeerServer()
+	wrongAuthority := newKeys(t, other.settings(t, PeerName)).PeerDial()()
 	wrongAuthority.RootCAs.AddCert(a.cert)
 	wrongName := newKeys(t, a.settings(t, "front.wisteriaquay")).PeerDial()()
-	noCertificate := newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()().Clone()
+	noCertificate := newKeys(t, a.settings(t, PeerName)).PeerDial()().Clone()
 	noCertificate.Certificates = nil
-	expired := newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()().Clone()
-	cert, key := a.issue(t, DefaultPeerName, time.Now().Add(-time.Hour))
+	expired := newKeys(t, a.settings(t, PeerName)).PeerDial()().Clone()
+	cert, key := a.issue(t, PeerName, time.Now().Add(-time.Hour))
 	pair, err := tls.X509KeyPair([]byte(cert), []byte(key))
 	must.NoError(t, err)
 	expired.Certificates = []tls.Certificate{pair}
@@ -131,32 +137,32 @@
 
 func TestPeerClientRefusesImpostor(t *testing.T) {
 	a, other := newAuthority(t), newAuthority(t)
-	impostor := newKeys(t, other.settings(t, DefaultPeerName)).PeerServer()
-	must.Error(t, handshake(t, impostor, newKeys(t, a.settings(t, DefaultPeerName)).PeerDial()()))
+	impostor := newKeys(t, other.settings(t, PeerName)).PeerServer()
+	must.Error(t, handshake(t, impostor, newKeys(t, a.settings(t, PeerName)).PeerDial()()))
 }
 
 func TestNewListsEveryFault(t *testing.T) {
 	a := newAuthority(t)
-	s := a.settings(t, DefaultPeerName)
-	s.FrontCert, s.FrontKey = a.issue(t, "front", time.Now().Add(-time.Minute))
+	s := a.settings(t, PeerName)
+	s.CallerCertificate, s.CallerKey = a.issue(t, "caller", time.Now().Add(-time.Minute))
 	s.PeerKey = ""
-	s.PeerAuthority = "file:" + filepath.Join(t.TempDir(), "absent")
-	s.OperatorDigests = "12"
+	s.PeerAuthority = filepath.Join(t.TempDir(), "absent")
+	s.OperatorToken = "12"
 	_, err := New(s)
-	must.ErrorContains(t, err, "front certificate expired")
+	must.ErrorContains(t, err, "caller certificate expired")
 	must.ErrorContains(t, err, "peer key is not set")
 	must.ErrorContains(t, err, "peer authority cannot be read")
-	must.ErrorContains(t, err, "operator digest 1")
+	must.ErrorContains(t, err, "operator token 1")
 }
 
 func TestReloadReplacesFileKeys(t *testing.T) {
 	a, next := newAuthority(t), newAuthority(t)
-	s := a.settings(t, DefaultPeerName)
+	s := a.settings(t, PeerName)
 	path := filepath.Join(t.TempDir(), "authority.pem")
 	must.NoError(t, os.WriteFile(path, []byte(a.text), 0o600))
-	s.PeerAuthority = "file:" + path
+	s.PeerAuthority = path
 	k := newKeys(t, s)
-	client := newKeys(t, next.settings(t, DefaultPeerName)).PeerDial()()
+	client := newKeys(t, next.settings(t, PeerName)).PeerDial()()
 	client.RootCAs.AddCert(a.cert)
 	server := k.PeerServer()
 	must.Error(t, handshake(t, server, client))
@@ -169,27 +175,27 @@
 
 func TestRunReloadsAtHangup(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "digests")
-	must.NoError(t, os.WriteFile(path, []byte(Digest("old")), 0o600))
-	k := newKeys(t, Settings{Plain: true, OperatorDigests: "file:" + path})
-	must.NoError(t, k.CheckOperator("Bearer old"))
-	must.NoError(t, os.WriteFile(path, []byte(Digest("new")), 0o600))
+	must.NoError(t, os.WriteFile(path, []byte(tokenOne), 0o600))
+	k := newKeys(t, wqsetting.Keys{PlainText: true, OperatorToken: path})
+	must.NoError(t, k.CheckOperator("Bearer "+tokenOne))
+	must.NoError(t, os.WriteFile(path, []byte(tokenTwo), 0o600))
 	ctx, cancel := context.WithCancel(t.Context())
 	hangups, done := make(chan os.Signal), make(chan struct{})
 	go func() { k.Run(ctx, hangups); close(done) }()
 	hangups <- os.Interrupt
 	hangups <- os.Interrupt
-	must.NoError(t, k.CheckOperator("Bearer new"))
-	must.Error(t, k.CheckOperator("Bearer old"))
+	must.NoError(t, k.CheckOperator("Bearer "+tokenTwo))
+	must.Error(t, k.CheckOperator("Bearer "+tokenOne))
 	cancel()
 	<-done
 }
 
 func TestCheckOperatorDenies(t *testing.T) {
-	k := newKeys(t, Settings{Plain: true, OperatorDigests: Digest("one") + ",\n" + Digest("two")})
-	must.NoError(t, k.CheckOperator("Bearer two"))
-	for _, header := range []string{"", "Bearer ", "Bearer three", "Basic one", "one"} {
+	k := newKeys(t, wqsetting.Keys{PlainText: true, OperatorToken: tokenOne + "\n" + tokenTwo})
+	must.NoError(t, k.CheckOperator("Bearer "+tokenTwo))
+	for _, header := range []string{"", "Bearer ", "Bearer " + tokenOne + "x", "Basic " + tokenOne, tokenOne} {
 		test.Eq(t, wqfault.Denied, wqfault.KindOf(k.CheckOperator(header)), test.Sprint(header))
 	}
-	none := newKeys(t, Settings{Plain: true})
-	test.Eq(t, wqfault.Denied, wqfault.KindOf(none.CheckOperator("Bearer one")))
+	_, err := New(wqsetting.Keys{PlainText: true})
+	test.ErrorContains(t, err, "operator token is not set")
 }
--- a/io/wqkeys/material.go
+++ b/io/wqkeys/material.go
@@ -10,16 +10,17 @@
 	"time"
 
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqsetting"
 )
 
 const (
-	filePrefix  = "file:"
+	filePrefix  = "/"
 	maxKeyBytes = 1 << 20 // maxKeyBytes bounds one source, in bytes.
 )
 
 // material is one immutable set of keys.
 type material struct {
-	front      *tls.Config
+	caller     *tls.Config
 	peerServer *tls.Config
 	peerClient *tls.Config
 	operators  []digest
@@ -31,10 +32,10 @@
 	faults []error
 }
 
-func loadMaterial(s Settings, read func(string) ([]byte, error), now time.Time) (*material, error) {
+func loadMaterial(s wqsetting.Keys, read func(string) ([]byte, error), now time.Time) (*material, error) {
 	l := &loader{read: read, now: now}
-	m := &material{operators: l.digests(s.OperatorDigests)}
-	if !s.Plain {
+	m := &material{operators: l.digests(s.OperatorToken)}
+	if !s.PlainText {
 		l.addTLS(m, s)
 	}
 	if err := errors.Join(l.faults...); err != nil {
@@ -43,14 +44,14 @@
 	return m, nil
 }
 
-func (l *loader) addTLS(m *material, s Settings) {
-	front := l.pair("front", s.FrontCert, s.FrontKey)
-	peer := l.pair("peer", s.PeerCert, s.PeerKey)
+func (l *loader) addTLS(m *material, s wqsetting.Keys) {
+	caller := l.pair("caller", s.CallerCertificate, s.CallerKey)
+	peer := l.pair("peer", s.PeerCertificate, s.PeerKey)
 	authority := l.authority(s.PeerAuthority)
-	m.front = &tls.Config{
+	m.caller = &tls.Config{
 		MinVersion:   tls.VersionTLS12,
 		NextProtos:   protocols(),
-		Certificates: []tls.Certificate{front},
+		Certificates: []tls.Certificate{caller},
 	}
 	m.peerServer = &tls.Config{
 		MinVersion:       tls.VersionTLS13,
@@ -58,14 +59,14 @@
 		Certificates:     []tls.Certificate{peer},
 		ClientAuth:       tls.RequireAndVerifyClientCert,
 		ClientCAs:        authority,
-		VerifyConnection: checkName(s.PeerName),
+		VerifyConnection: checkName(PeerName),
 	}
 	m.peerClient = &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		NextProtos:   []string{"h2"},
 		Certificates: []tls.Certificate{peer},
 		RootCAs:      authority,
-		ServerName:   s.PeerName,
+		ServerName:   PeerName,
 	}
 }
 
@@ -115,18 +116,17 @@
 // text returns the content of a source, or nil and a fault.
 func (l *loader) text(label, source string) []byte {
 	if source == "" {
-		l.fail("the "+label+" is not set", "set it as PEM text or as file:PATH, or set plain to serve without TLS")
+		l.fail("the "+label+" is not set", "set it as PEM text or as the path of a file")
 		return nil
 	}
 	return l.content(label, source)
 }
 
 func (l *loader) content(label, source string) []byte {
-	path, isFile := strings.CutPrefix(source, filePrefix)
-	if !isFile {
+	if !strings.HasPrefix(source, filePrefix) {
 		return []byte(source)
 	}
-	content, err := l.read(path)
+	content, err := l.read(source)
 	if err != nil {
 		l.fail(fmt.Sprintf("the %s cannot be read: %v", label, err), "make the file readable for the program")
 		return nil
--- a/io/wqkeys/operator.go
+++ b/io/wqkeys/operator.go
@@ -3,30 +3,22 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"fmt"
 	"strings"
-	"unicode"
 
 	"wisteriaquay/core/wqfault"
 )
 
 const (
 	bearerPrefix  = "Bearer "
+	minTokenBytes = 16  // minTokenBytes is the least length of an operator's token, in bytes.
 	maxTokenBytes = 512 // maxTokenBytes bounds an operator's token, in bytes.
 )
 
 type digest [sha256.Size]byte
 
-// Digest returns the digest of an operator's token, in hexadecimal, as
-// Settings.OperatorDigests takes it.
-func Digest(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
 // CheckOperator returns a Denied fault unless the value of the Authorization
-// header is "Bearer " and a token whose digest is set.
+// header is "Bearer " and a token that is set.
 func (k *Keys) CheckOperator(authorization string) error {
 	token, found := strings.CutPrefix(authorization, bearerPrefix)
 	if !found || token == "" || len(token) > maxTokenBytes {
@@ -38,27 +30,22 @@
 		known |= subtle.ConstantTimeCompare(d[:], sum[:])
 	}
 	if known == 0 {
-		return wqfault.New(wqfault.Denied, "the operator credential is not known", "use a token whose digest is among the VM's operator digests")
+		return wqfault.New(wqfault.Denied, "the operator credential is not known", "use a token that is set as an operator token of the VM")
 	}
 	return nil
 }
 
-// digests parses the digests of a source; an empty source gives none, which
-// denies every operator.
+// digests reads the tokens of a source, of which at least one must be set, and
+// keeps only their digests.
 func (l *loader) digests(source string) []digest {
-	if source == "" {
-		return nil
-	}
-	var parsed []digest
-	for _, field := range strings.FieldsFunc(string(l.content("operator digests", source)), isSeparator) {
-		d, err := hex.DecodeString(field)
-		if err != nil || len(d) != sha256.Size {
-			l.fail(fmt.Sprintf("operator digest %d is not a SHA-256 digest", len(parsed)+1), "set 64 hexadecimal digits for each token")
-			continue
+	tokens := strings.Fields(string(l.text("operator token", source)))
+	kept := make([]digest, 0, len(tokens))
+	for i, t := range tokens {
+		if len(t) < minTokenBytes || len(t) > maxTokenBytes {
+			message := fmt.Sprintf("operator token %d has %d bytes", i+1, len(t))
+			l.fail(message, fmt.Sprintf("use %d to %d random bytes", minTokenBytes, maxTokenBytes))
 		}
-		parsed = append(parsed, digest(d))
+		kept = append(kept, sha256.Sum256([]byte(t)))
 	}
-	return parsed
+	return kept
 }
-
-func isSeparator(r rune) bool { return r == ',' || unicode.IsSpace(r) }
