--- /dev/null
+++ b/core/wqbudget/budget.go
@@ -0,0 +1,55 @@
+// Package wqbudget bounds extra work as a share of the regular work.
+//
+// # Usage
+//
+// Regular work earns, extra work spends:
+//
+//	b := &wqbudget.Budget{Share: 0.05, Burst: 20}
+//	b.Earn(20)
+//	if b.Spend(now) { ... }
+//
+// A refusal for load by a target stops all spending for a while, because extra
+// work then only adds to the overload.
+package wqbudget
+
+import (
+	"sync"
+	"time"
+)
+
+// Budget is a token bucket that regular work fills. It is safe for use by many
+// goroutines. The zero value allows no extra work.
+type Budget struct {
+	Share float64       // Share is the extra work allowed for each unit of regular work.
+	Burst float64       // Burst is the most extra work saved up, in units.
+	Pause time.Duration // Pause is how long a refusal stops spending.
+
+	mutex  sync.Mutex
+	tokens float64
+	opens  time.Time
+}
+
+// Earn adds the share of this many units of regular work.
+func (b *Budget) Earn(units int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tokens = min(b.tokens+b.Share*float64(units), b.Burst)
+}
+
+// Spend takes one unit of extra work and reports whether it is allowed.
+func (b *Budget) Spend(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.tokens < 1 || now.Before(b.opens) {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Refused notes that a target refused for load.
+func (b *Budget) Refused(now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.opens = now.Add(b.Pause)
+}
--- /dev/null
+++ b/core/wqfanout/result.go
@@ -0,0 +1,149 @@
+package wqfanout
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqview"
+)
+
+const (
+	firstBackoff = 5 * time.Millisecond // firstBackoff is the pause after every candidate was tried in vain; it doubles.
+	maxRounds    = 4                    // maxRounds is how often all candidates of a shard are tried.
+)
+
+// result counts one result of a live batch.
+func (q *Query[R, H]) result(now time.Time, v *wqview.View, id int, r *Result) {
+	place, known := q.pass.sheet.Place(r.Shard)
+	if !known {
+		return
+	}
+	t := q.pass.shards[place].try(id)
+	if t == nil || t.candidate.SearcherID != r.SearcherID {
+		return
+	}
+	q.learn(r)
+	q.close(now, v, place, t, r)
+}
+
+// close ends a try with its result and decides what follows for the shard.
+func (q *Query[R, H]) close(now time.Time, v *wqview.View, place int, t *try, r *Result) {
+	if r.Sent {
+		q.sent++
+	}
+	status := r.Status
+	if status == wqreport.Answered && !q.fits(r) {
+		status = wqreport.SnapshotGone
+		q.held[r.SearcherID] = span{oldest: r.Snapshot, newest: r.Snapshot}
+	}
+	latency := now.Sub(t.sentAt)
+	q.release(now, t, status)
+	if status == wqreport.Answered {
+		q.Hedge.Observe(now, latency)
+		q.answered(now, v, place, r)
+		return
+	}
+	if status == wqreport.Shed {
+		q.Hedge.Refused(now)
+	}
+	q.failed(now, v, place, status, r.Sent)
+}
+
+// fits reports whether an answer is of the snapshot that was asked for.
+func (q *Query[R, H]) fits(r *Result) bool {
+	return r.Snapshot != 0 && (q.pass.snapshot == 0 || r.Snapshot == q.pass.snapshot)
+}
+
+func (q *Query[R, H]) answered(now time.Time, v *wqview.View, place int, r *Result) {
+	s := &q.pass.shards[place]
+	sheet := q.sheet(v, r.Snapshot)
+	if sheet.Take(r.Shard, r.Matched) {
+		s.sheet = sheet
+		s.part = q.parts
+	}
+	q.settleShard(now, place, "")
+}
+
+// rows merges the rows of the shards that the same message answered.
+func (q *Query[R, H]) rows(rows []wqanswer.Row) {
+	for i := range rows {
+		place, known := q.pass.sheet.Place(rows[i].Shard)
+		if !known {
+			continue
+		}
+		s := &q.pass.shards[place]
+		if s.sheet != nil && s.part == q.parts {
+			s.sheet.Add(rows[i])
+		}
+	}
+}
+
+// failed retries a shard whose sub-query brought no answer, unless another of
+// its sub-queries still runs.
+func (q *Query[R, H]) failed(now time.Time, v *wqview.View, place int, status wqreport.Status, sent bool) {
+	s := &q.pass.shards[place]
+	if s.settled {
+		return
+	}
+	s.reason = reasonOf(status)
+	if s.waiting() {
+		return
+	}
+	if sent && status != wqreport.SnapshotGone && !q.Retry.Spend(now) {
+		q.settleShard(now, place, s.reason)
+		return
+	}
+	q.dispatch(now, v, place)
+}
+
+// exhausted decides what follows when no candidate is left for a shard.
+func (q *Query[R, H]) exhausted(now time.Time, v *wqview.View, place int, why wqanswer.Reason) {
+	s := &q.pass.shards[place]
+	if s.reason == "" || len(s.tries) == 0 {
+		s.reason = why
+	}
+	pinned := q.pass.snapshot != 0
+	if pinned && !q.serves(v, q.pass.sheet.Shards()[place], q.pass.snapshot) {
+		q.lost = true
+		return
+	}
+	s.rounds++
+	pause := firstBackoff << s.rounds
+	if s.rounds >= maxRounds || now.Add(pause).After(q.Deadline) {
+		q.settleShard(now, place, s.reason)
+		return
+	}
+	s.tries = nil
+	s.wakeAt = now.Add(pause)
+	q.pass.wake(s.wakeAt)
+}
+
+// due sends the hedge or the retry of a shard.
+func (q *Query[R, H]) due(now time.Time, v *wqview.View, place int) {
+	s := &q.pass.shards[place]
+	s.wakeAt = time.Time{}
+	if !s.waiting() {
+		q.dispatch(now, v, place)
+		return
+	}
+	q.hedge(now, v, place)
+}
+
+func reasonOf(s wqreport.Status) wqanswer.Reason {
+	switch s {
+	case wqreport.SnapshotGone:
+		return wqanswer.SnapshotGone
+	case wqreport.Shed:
+		return wqanswer.Shed
+	case wqreport.Draining, wqreport.Unreachable, wqreport.NotRun:
+		return wqanswer.Unreachable
+	case wqreport.NotHeld:
+		return wqanswer.NotHeld
+	case wqreport.ZoneOut:
+		return wqanswer.ZoneOut
+	case wqreport.Expired:
+		return wqanswer.Late
+	}
+	return wqanswer.Failed
+}
--- /dev/null
+++ b/core/wqfanout/step.go
@@ -0,0 +1,75 @@
+package wqfanout
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqreplica"
+	"wisteriaquay/core/wqreport"
+)
+
+// ReplicaPolicy chooses how a shard is reached and learns from what came of it.
+type ReplicaPolicy interface {
+	// Pick returns the index of a candidate, -1 when there is none.
+	Pick(now time.Time, candidates []wqreplica.Candidate, random uint64) int
+	// Sent notes that the candidate was sent a sub-query.
+	Sent(c *wqreplica.Candidate)
+	// Done notes how that sub-query ended, and how long after it was sent.
+	Done(now time.Time, c *wqreplica.Candidate, status wqreport.Status, latency time.Duration)
+}
+
+// HedgePolicy decides when a second replica is asked and learns from answers.
+type HedgePolicy interface {
+	// Delay returns how long a sub-query waits before a hedge, false for none.
+	Delay() (time.Duration, bool)
+	// Allow takes one hedge from the budget and reports whether it was there.
+	Allow(now time.Time) bool
+	// Earn notes sub-queries that were sent for the first time.
+	Earn(count int)
+	// Refused notes that a target refused for load.
+	Refused(now time.Time)
+	// Observe notes the latency of one answered sub-query.
+	Observe(now time.Time, latency time.Duration)
+}
+
+// Batch is one call to a holder.
+type Batch struct {
+	ID       int
+	MemberID string
+	Snapshot uint64 // Snapshot is the one asked for; 0 asks each searcher for its newest.
+	Subs     []Sub
+}
+
+// Sub is one sub-query of a Batch.
+type Sub struct {
+	Shard      string
+	SearcherID string
+	Hedge      bool
+}
+
+// Part is one message of a holder's stream.
+type Part struct {
+	Batch     int
+	RequestID string
+	Results   []Result
+	Rows      []wqanswer.Row // Rows belong to the answered shards of the same Part.
+}
+
+// Result is how one sub-query ended.
+type Result struct {
+	Shard      string
+	SearcherID string
+	Status     wqreport.Status
+	Snapshot   uint64 // Snapshot is the one that the rows come from.
+	Oldest     uint64 // Oldest is the oldest snapshot that the searcher holds; 0 is unknown.
+	Newest     uint64 // Newest is the newest snapshot that the searcher holds; 0 is unknown.
+	Matched    uint32 // Matched is how many rows matched before the limit.
+	Sent       bool   // Sent is true when the searcher was sent the sub-query.
+}
+
+// Step is what a Query asks its driver to do.
+type Step struct {
+	Sends   []Batch
+	Cancels []int // Cancels are the ids of calls whose results are no longer needed.
+	Done    bool  // Done is true when nothing more is awaited; Seal the answer.
+}
--- /dev/null
+++ b/core/wqfanout/world_test.go
@@ -0,0 +1,116 @@
+package wqfanout
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqbudget"
+	"wisteriaquay/core/wqhedge"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqreplica"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+type fixedHedge struct {
+	wqhedge.Never
+	after time.Duration
+}
+
+func (h fixedHedge) Delay() (time.Duration, bool) { return h.after, h.after > 0 }
+func (h fixedHedge) Allow(time.Time) bool         { return true }
+
+type testQuery = Query[wqreplica.Random, fixedHedge]
+
+func newQuery(hedgeAfter time.Duration) *testQuery {
+	retry := &wqbudget.Budget{Share: 0.1, Burst: 100}
+	retry.Earn(1000)
+	n := uint64(0)
+	return &testQuery{
+		RequestID: "q", Service: "bench", Deadline: epoch.Add(100 * time.Millisecond), Limit: 1000,
+		Hedge: fixedHedge{after: hedgeAfter}, Retry: retry,
+		Random: func() uint64 { n++; return n * 0x9e3779b97f4a7c15 },
+	}
+}
+
+// newView has two replicas of each shard, in zones z0 and z1, each held by the
+// VMs m0 and m1.
+func newView(layouts ...wqtopology.Layout) *wqview.View {
+	t := &wqtopology.Topology{Revision: 1, Layouts: layouts, Zones: []wqtopology.Zone{{ID: "z0"}, {ID: "z1"}}}
+	v := &wqview.View{
+		Self:      wqmember.Member{ID: "m0", Zone: "z0"},
+		Members:   map[string]wqmember.Member{"m0": {ID: "m0"}, "m1": {ID: "m1"}},
+		Holders:   map[string][]wqview.Holder{},
+		Targets:   map[string]wqview.Target{},
+		Snapshots: map[string]uint64{},
+	}
+	seen := map[string]bool{}
+	for _, l := range layouts {
+		for _, s := range l.Shards {
+			for i := range 2 {
+				id := fmt.Sprintf("%s-%d", s, i)
+				if seen[id] {
+					continue
+				}
+				seen[id] = true
+				t.Searchers = append(t.Searchers, wqtopology.Searcher{ID: id, Zone: fmt.Sprintf("z%d", i), Service: "bench", Shard: s, Slots: 3})
+				v.Holders[id] = []wqview.Holder{{MemberID: "m0", Slots: 1}, {MemberID: "m1", Slots: 1}}
+			}
+		}
+	}
+	v.Index = wqtopology.NewIndex(t)
+	return v
+}
+
+func layout(first uint64, shards ...string) wqtopology.Layout {
+	return wqtopology.Layout{Service: "bench", FirstSnapshot: first, Shards: shards}
+}
+
+// reply is a whole answer to one sub-query.
+func reply(b Batch, s Sub, snapshot, oldest, newest uint64) *Part {
+	return &Part{
+		Batch: b.ID, RequestID: "q",
+		Results: []Result{{
+			Shard: s.Shard, SearcherID: s.SearcherID, Snapshot: snapshot, Oldest: oldest, Newest: newest,
+			Matched: 2, Sent: true, Status: wqreport.Answered,
+		}},
+		Rows: rowsOf(s.Shard, snapshot),
+	}
+}
+
+func refusal(b Batch, s Sub, status wqreport.Status, oldest, newest uint64) *Part {
+	return &Part{Batch: b.ID, RequestID: "q", Results: []Result{{
+		Shard: s.Shard, SearcherID: s.SearcherID, Status: status, Oldest: oldest, Newest: newest, Sent: true,
+	}}}
+}
+
+func rowsOf(shard string, snapshot uint64) []wqanswer.Row {
+	rows := make([]wqanswer.Row, 2)
+	for n := range rows {
+		rows[n] = wqanswer.Row{Shard: shard, Key: fmt.Sprintf("bench/%s/%d/%d", shard, snapshot, n), Score: float64(n)}
+	}
+	return rows
+}
+
+// serve answers every sub-query at once by what answer says, until nothing is
+// left to send, and returns the last step.
+func serve(q *testQuery, v *wqview.View, step Step, answer func(Batch, Sub) *Part) Step {
+	sends := step.Sends
+	for len(sends) > 0 {
+		b := sends[0]
+		sends = sends[1:]
+		for _, s := range b.Subs {
+			p := answer(b, s)
+			if p == nil {
+				continue
+			}
+			step = q.Take(epoch, v, p)
+			sends = append(sends, step.Sends...)
+		}
+	}
+	return step
+}
--- /dev/null
+++ b/core/wqsnapshot/snapshot.go
@@ -0,0 +1,54 @@
+// Package wqsnapshot chooses the one index snapshot that a whole answer comes
+// from.
+//
+// # Usage
+//
+//	choice := wqsnapshot.Choose(candidates, shards, serves)
+//	if choice.Missing > 0 { ... the answer will be partial ... }
+//
+// The shards of a snapshot are those of its own layout, so that a repartition
+// never mixes old and new shards.
+package wqsnapshot
+
+import "slices"
+
+// Choice is a snapshot and how many of its shards no replica serves.
+type Choice struct {
+	Snapshot uint64 // Snapshot is 0 when there was no candidate with a layout.
+	Missing  int
+}
+
+// Choose returns the newest candidate that every shard of its layout can serve,
+// else the one with the largest share of shards served, the newest of equals.
+func Choose(candidates []uint64, shards func(snapshot uint64) []string, serves func(shard string, snapshot uint64) bool) Choice {
+	ordered := slices.Clone(candidates)
+	slices.Sort(ordered)
+	ordered = slices.Compact(ordered)
+	var best Choice
+	bestShare := -1.0
+	for _, c := range slices.Backward(ordered) {
+		layout := shards(c)
+		if c == 0 || len(layout) == 0 {
+			continue
+		}
+		missing := countMissing(layout, c, serves)
+		share := 1 - float64(missing)/float64(len(layout))
+		if share > bestShare {
+			best, bestShare = Choice{Snapshot: c, Missing: missing}, share
+		}
+		if missing == 0 {
+			break
+		}
+	}
+	return best
+}
+
+func countMissing(layout []string, snapshot uint64, serves func(string, uint64) bool) int {
+	missing := 0
+	for _, s := range layout {
+		if !serves(s, snapshot) {
+			missing++
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/io/wqentry/driver.go
@@ -0,0 +1,191 @@
+package wqentry
+
+import (
+	"context"
+	"time"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqfanout"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqpb"
+)
+
+// machine is what the driver needs of a wqfanout.Query.
+type machine interface {
+	Start(now time.Time, v *wqview.View) wqfanout.Step
+	Take(now time.Time, v *wqview.View, p *wqfanout.Part) wqfanout.Step
+	End(now time.Time, v *wqview.View, batch int, status wqreport.Status) wqfanout.Step
+	Wake(now time.Time, v *wqview.View) wqfanout.Step
+	Next() time.Time
+}
+
+// event is one message of a call, or its end when part is nil.
+type event struct {
+	batch  int
+	part   *wqpb.FanPart
+	status wqreport.Status
+}
+
+// driver carries out the steps of one query.
+type driver struct {
+	request  *Request
+	deadline time.Time
+	fanner   func(memberID string) Fanner
+	view     func() *wqview.View
+	events   chan event
+	cancels  map[int]context.CancelFunc
+}
+
+func newDriver(r *Request, deadline time.Time, fanner func(string) Fanner, view func() *wqview.View) *driver {
+	return &driver{
+		request:  r,
+		deadline: deadline,
+		fanner:   fanner,
+		view:     view,
+		events:   make(chan event),
+		cancels:  make(map[int]context.CancelFunc),
+	}
+}
+
+// run returns when the query is done or its caller has gone. All calls are
+// cancelled by then.
+func (d *driver) run(ctx context.Context, q machine) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	step := q.Start(time.Now(), d.view())
+	timer := time.NewTimer(time.Until(q.Next()))
+	defer timer.Stop()
+	for d.carryOut(ctx, step) {
+		timer.Reset(time.Until(q.Next()))
+		select {
+		case e := <-d.events:
+			step = d.take(q, e)
+		case <-timer.C:
+			step = q.Wake(time.Now(), d.view())
+		case <-ctx.Done():
+			q.Wake(d.deadline, d.view())
+			return
+		}
+	}
+}
+
+// carryOut starts and cancels calls; it returns false when the query is done.
+func (d *driver) carryOut(ctx context.Context, step wqfanout.Step) bool {
+	for _, id := range step.Cancels {
+		if cancel := d.cancels[id]; cancel != nil {
+			cancel()
+			delete(d.cancels, id)
+		}
+	}
+	if step.Done {
+		return false
+	}
+	for i := range step.Sends {
+		b := &step.Sends[i]
+		call, cancel := context.WithCancel(ctx)
+		d.cancels[b.ID] = cancel
+		go d.call(call, b.ID, b.MemberID, d.message(b))
+	}
+	return true
+}
+
+func (d *driver) take(q machine, e event) wqfanout.Step {
+	if e.part == nil {
+		return q.End(time.Now(), d.view(), e.batch, e.status)
+	}
+	return q.Take(time.Now(), d.view(), decode(e.batch, e.part))
+}
+
+// call runs one call to a holder and hands over what arrives.
+func (d *driver) call(ctx context.Context, batch int, memberID string, r *wqpb.FanRequest) {
+	hand := func(e event) error {
+		select {
+		case d.events <- e:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	f := d.fanner(memberID)
+	if f == nil {
+		_ = hand(event{batch: batch, status: wqreport.Unreachable})
+		return
+	}
+	err := f.Fan(ctx, r, func(p *wqpb.FanPart) error { return hand(event{batch: batch, part: p}) })
+	status := wqreport.Broken
+	if err != nil && wqfault.KindOf(err).NotRun() {
+		status = wqreport.Unreachable
+	}
+	_ = hand(event{batch: batch, status: status})
+}
+
+// message encodes a batch; the deadline travels as the time that is left.
+func (d *driver) message(b *wqfanout.Batch) *wqpb.FanRequest {
+	subs := make([]*wqpb.SubQuery, len(b.Subs))
+	for i, s := range b.Subs {
+		subs[i] = &wqpb.SubQuery{Shard: s.Shard, Searcher: s.SearcherID, Hedge: s.Hedge}
+	}
+	return &wqpb.FanRequest{
+		RequestId:       d.request.RequestID,
+		Service:         d.request.Service,
+		Snapshot:        b.Snapshot,
+		Body:            d.request.Body,
+		RemainingMicros: uint32(max(time.Until(d.deadline), 0).Microseconds()),
+		Limit:           uint32(limit(d.request)),
+		Revision:        d.view().Index.Topology.Revision,
+		SubQueries:      subs,
+		Tenant:          d.request.Tenant,
+		Class:           d.request.Class,
+	}
+}
+
+func decode(batch int, p *wqpb.FanPart) *wqfanout.Part {
+	part := &wqfanout.Part{
+		Batch:     batch,
+		RequestID: p.GetRequestId(),
+		Results:   make([]wqfanout.Result, len(p.GetResults())),
+		Rows:      make([]wqanswer.Row, len(p.GetRows())),
+	}
+	for i, r := range p.GetResults() {
+		part.Results[i] = wqfanout.Result{
+			Shard:      r.GetShard(),
+			SearcherID: r.GetSearcher(),
+			Status:     statusOf(r.GetStatus()),
+			Snapshot:   r.GetSnapshot(),
+			Oldest:     r.GetOldest(),
+			Newest:     r.GetNewest(),
+			Matched:    r.GetMatched(),
+			Sent:       r.GetSent() > 0,
+		}
+	}
+	for i, r := range p.GetRows() {
+		part.Rows[i] = wqanswer.Row{Shard: r.GetShard(), Key: r.GetKey(), Score: r.GetScore(), Body: r.GetBody()}
+	}
+	return part
+}
+
+func statusOf(s wqpb.SubStatus) wqreport.Status {
+	switch s {
+	case wqpb.SubStatus_SUB_STATUS_ANSWERED:
+		return wqreport.Answered
+	case wqpb.SubStatus_SUB_STATUS_SNAPSHOT_GONE:
+		return wqreport.SnapshotGone
+	case wqpb.SubStatus_SUB_STATUS_SHED:
+		return wqreport.Shed
+	case wqpb.SubStatus_SUB_STATUS_DRAINING:
+		return wqreport.Draining
+	case wqpb.SubStatus_SUB_STATUS_NOT_RUN:
+		return wqreport.NotRun
+	case wqpb.SubStatus_SUB_STATUS_UNREACHABLE:
+		return wqreport.Unreachable
+	case wqpb.SubStatus_SUB_STATUS_EXPIRED:
+		return wqreport.Expired
+	case wqpb.SubStatus_SUB_STATUS_NOT_HELD:
+		return wqreport.NotHeld
+	case wqpb.SubStatus_SUB_STATUS_ZONE_OUT:
+		return wqreport.ZoneOut
+	}
+	return wqreport.Broken
+}
--- /dev/null
+++ b/io/wqentry/entry.go
@@ -0,0 +1,118 @@
+// Package wqentry answers callers' queries at the VM that they reached: it
+// drives one wqfanout.Query for each and carries its sub-queries to the VMs
+// that hold the searchers.
+//
+// # Usage
+//
+// The policies are type parameters; set the exported fields and call Query:
+//
+//	stats := wqreplica.NewStats()
+//	e := &wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]{
+//		View: node.View, Local: holder, Remote: peers.Fanner,
+//		Replica: wqreplica.Least{Stats: stats}, Hedge: wqentry.Quantile,
+//	}
+//	answer, err := e.Query(ctx, &wqentry.Request{RequestID: "q-17", ...})
+//
+// The goroutine that calls Query owns the query's state; each call to a holder
+// runs in its own goroutine and hands what arrives over a channel.
+package wqentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqbudget"
+	"wisteriaquay/core/wqfanout"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqhedge"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqpb"
+)
+
+// Fanner sends the sub-queries of one request to searchers and hands over their
+// results as they arrive. It returns nil after the last one. A fault whose kind
+// says "not run" means that no searcher was sent anything.
+type Fanner interface {
+	Fan(ctx context.Context, r *wqpb.FanRequest, send func(*wqpb.FanPart) error) error
+}
+
+// Entry answers queries. Set the exported fields before the first Query; it is
+// then safe for use by many goroutines.
+type Entry[R wqfanout.ReplicaPolicy, H wqfanout.HedgePolicy] struct {
+	View    func() *wqview.View
+	Local   Fanner                       // Local is this VM's own holder.
+	Remote  func(memberID string) Fanner // Remote returns the holder of another VM, nil when it is not known.
+	Replica R
+	Hedge   func(r *wqtopology.Rule) H // Hedge returns the policy that the queries of a rule share.
+
+	classes classes[H]
+}
+
+// Quantile returns the hedge policy that a rule asks for.
+func Quantile(r *wqtopology.Rule) *wqhedge.Quantile {
+	budget := &wqbudget.Budget{Share: r.HedgeShare, Burst: hedgeBurst, Pause: hedgePause}
+	return wqhedge.NewQuantile(r.HedgeQuantile, budget)
+}
+
+// Never returns a hedge policy that sends none.
+func Never(*wqtopology.Rule) wqhedge.Never { return wqhedge.Never{} }
+
+// Query answers one request. The error is a wqfault.Fault; with an Incomplete
+// one the answer's labels are still set.
+func (e *Entry[R, H]) Query(ctx context.Context, r *Request) (wqanswer.Answer, error) {
+	if err := r.check(); err != nil {
+		return wqanswer.Answer{}, err
+	}
+	v := e.View()
+	rule, err := rule(v, r)
+	if err != nil {
+		return wqanswer.Answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout(r, rule))
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	if !time.Now().Before(deadline) {
+		return wqanswer.Answer{}, wqfault.New(wqfault.Expired, "no time is left", "allow more time")
+	}
+	return e.fan(ctx, v, r, rule, deadline)
+}
+
+// fan runs the query's state machine.
+func (e *Entry[R, H]) fan(ctx context.Context, v *wqview.View, r *Request, rule *wqtopology.Rule, deadline time.Time) (wqanswer.Answer, error) {
+	class := e.classes.class(rule, len(v.Index.Topology.Rules), e.Hedge)
+	query := &wqfanout.Query[R, H]{
+		RequestID: r.RequestID,
+		Service:   r.Service,
+		Deadline:  deadline,
+		Least:     max(r.LeastCoverage, rule.LeastCoverage),
+		Limit:     limit(r),
+		Hint:      e.classes.snapshot(r.Service),
+		Replica:   e.Replica,
+		Hedge:     class.hedge,
+		Retry:     class.retry,
+		Random:    rand.Uint64,
+	}
+	d := newDriver(r, deadline, e.fanner, e.View)
+	d.run(ctx, query)
+	v = e.View()
+	e.classes.settled(r.Service, query.Settled(v))
+	return query.Seal(v)
+}
+
+func limit(r *Request) int {
+	if r.Limit == 0 {
+		return defaultLimit
+	}
+	return r.Limit
+}
+
+// fanner returns the way to a holder, nil when there is none.
+func (e *Entry[R, H]) fanner(memberID string) Fanner {
+	if memberID == e.View().Self.ID {
+		return e.Local
+	}
+	return e.Remote(memberID)
+}
--- /dev/null
+++ b/io/wqentry/entry_test.go
@@ -0,0 +1,144 @@
+package wqentry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqhedge"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqreplica"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqpb"
+)
+
+// fakeHolder answers every sub-query in a part of its own.
+type fakeHolder struct {
+	hang func(s *wqpb.SubQuery) bool
+}
+
+func (f *fakeHolder) Fan(ctx context.Context, r *wqpb.FanRequest, send func(*wqpb.FanPart) error) error {
+	hung := false
+	for _, s := range r.GetSubQueries() {
+		if f.hang != nil && f.hang(s) {
+			hung = true
+			continue
+		}
+		key := fmt.Sprintf("%s/%s/%d/0", r.GetService(), s.GetShard(), r.GetSnapshot())
+		err := send(&wqpb.FanPart{
+			RequestId: r.GetRequestId(),
+			Results: []*wqpb.SubResult{{
+				Shard: s.GetShard(), Searcher: s.GetSearcher(), Status: wqpb.SubStatus_SUB_STATUS_ANSWERED,
+				Snapshot: r.GetSnapshot(), Oldest: 1, Newest: 7, Matched: 1, Sent: 1,
+			}},
+			Rows: []*wqpb.Row{{Shard: s.GetShard(), Key: key}},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	if hung {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func newTestView(shards int) *wqview.View {
+	t := &wqtopology.Topology{
+		Revision: 1,
+		Zones:    []wqtopology.Zone{{ID: "z0"}, {ID: "z1"}},
+		Rules:    []wqtopology.Rule{{Tenant: "t", Class: "c", Service: "bench", TimeoutMillis: 200, Weight: 1}},
+		Layouts:  []wqtopology.Layout{{Service: "bench", FirstSnapshot: 1}},
+	}
+	v := &wqview.View{
+		Self:      wqmember.Member{ID: "m0", Zone: "z0"},
+		Members:   map[string]wqmember.Member{"m0": {ID: "m0"}, "m1": {ID: "m1"}, "m2": {ID: "m2"}},
+		Holders:   map[string][]wqview.Holder{},
+		Snapshots: map[string]uint64{"bench": 7},
+	}
+	for i := range shards {
+		shard := fmt.Sprintf("b%04d", i)
+		t.Layouts[0].Shards = append(t.Layouts[0].Shards, shard)
+		for j := range 2 {
+			id := fmt.Sprintf("%s-%d", shard, j)
+			t.Searchers = append(t.Searchers, wqtopology.Searcher{ID: id, Zone: t.Zones[j].ID, Service: "bench", Shard: shard, Slots: 3})
+			v.Holders[id] = []wqview.Holder{{MemberID: "m0", Slots: 1}, {MemberID: "m1", Slots: 1}, {MemberID: "m2", Slots: 1}}
+		}
+	}
+	v.Index = wqtopology.NewIndex(t)
+	return v
+}
+
+type testEntry = Entry[wqreplica.Least, *wqhedge.Quantile]
+
+func newTestEntry(v *wqview.View, f Fanner) *testEntry {
+	return &testEntry{
+		View:    func() *wqview.View { return v },
+		Local:   f,
+		Remote:  func(string) Fanner { return f },
+		Replica: wqreplica.Least{Stats: wqreplica.NewStats()},
+		Hedge:   Quantile,
+	}
+}
+
+func request() *Request {
+	return &Request{RequestID: "q", Tenant: "t", Class: "c", Service: "bench"}
+}
+
+func TestQueryIsWhole(t *testing.T) {
+	a, err := newTestEntry(newTestView(20), &fakeHolder{}).Query(context.Background(), request())
+	must.NoError(t, err)
+	must.Eq(t, 20, a.ShardsAnswered)
+	must.Eq(t, 20, len(a.Rows))
+	must.Eq(t, 20, a.SubQueriesSent)
+}
+
+func TestQueryEndsAtItsDeadlineWithATrueLabel(t *testing.T) {
+	f := &fakeHolder{hang: func(s *wqpb.SubQuery) bool { return s.GetShard() == "b0003" }}
+	r := request()
+	r.Timeout = 30 * time.Millisecond
+	a, err := newTestEntry(newTestView(20), f).Query(context.Background(), r)
+	must.NoError(t, err)
+	must.Eq(t, 19, a.ShardsAnswered)
+	must.Eq(t, "b0003", a.Missing[0].Shard)
+	r.LeastCoverage = 1
+	_, err = newTestEntry(newTestView(20), f).Query(context.Background(), r)
+	must.Eq(t, wqfault.Incomplete, wqfault.KindOf(err))
+}
+
+func TestRefusalsNameTheirKind(t *testing.T) {
+	for want, change := range map[wqfault.Kind]func(v *wqview.View, r *Request){
+		wqfault.BadInput: func(_ *wqview.View, r *Request) { r.RequestID = "" },
+		wqfault.Unknown:  func(_ *wqview.View, r *Request) { r.Tenant = "nobody" },
+		wqfault.NotReady: func(v *wqview.View, _ *Request) { v.Isolated = true },
+		wqfault.Leaving:  func(v *wqview.View, _ *Request) { v.Index.Zone("z0").Out = true },
+	} {
+		v, r := newTestView(2), request()
+		change(v, r)
+		_, err := newTestEntry(v, &fakeHolder{}).Query(context.Background(), r)
+		must.Eq(t, want, wqfault.KindOf(err))
+		must.True(t, want.NotRun())
+	}
+}
+
+func BenchmarkQuery(b *testing.B) {
+	for _, shards := range []int{10, 100, 1600} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+			e := newTestEntry(newTestView(shards), &fakeHolder{})
+			r := request()
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := e.Query(context.Background(), r); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/sub")
+		})
+	}
+}
