Send sub-queries and write-like requests from a holder VM

Cause: entries need holders that keep within their shares of each searcher. Change: core/wqlane decides what to send when, from a deadline queue (wqqueue), a concurrency limit (wqlimit) and a cold-start gate (wqcold); io/wqholder runs one lane for each searcher, batches what waits and checks the view again when work leaves the queue.

--- /dev/null
+++ b/core/wqlane/lane.go
@@ -0,0 +1,222 @@
+// Package wqlane decides what one VM sends to one target, and when: a queue
+// bounded by the deadlines, the concurrency limit, the cold-start gate, and the
+// batch that travels together when a slot becomes free.
+//
+// Work that cannot be served in time is refused at once, so that its sender can
+// still turn to another replica: on arrival, when the queue ahead would take
+// too long, and on leaving the queue, when the time left is too short.
+//
+// # Usage
+//
+//	l := wqlane.New[*job](&wqlimit.AIMD{}, 64)
+//	l.SetShare(3, 1, 10*time.Second, batch)
+//	if !l.Offer(now, wqlane.Job[*job]{Item: j, Deadline: deadline}) {
+//		// refuse j: not run
+//	}
+//	send, refuse := l.Next(now)
+//	// send the batch when there is one, then
+//	l.Done(now, outcome)
+//	// and call Next again
+//
+// A Lane is not safe for concurrent use.
+package wqlane
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqcold"
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqqueue"
+	"wisteriaquay/core/wqreport"
+)
+
+const (
+	// smoothing is the weight of a new latency in the running mean.
+	smoothing = 0.125
+	// hopeless is the share of the mean latency below which the time left of a
+	// request is too short to send it.
+	hopeless = 0.5
+)
+
+// Job is one sub-query or write-like request for the target.
+type Job[T any] struct {
+	Item     T
+	Deadline time.Time
+	Alone    bool // Alone keeps it out of batches.
+}
+
+// Outcome is how one request to the target ended.
+type Outcome struct {
+	Started     time.Time
+	Status      wqreport.Status
+	Incarnation string // Incarnation is the target's own; empty when it gave no word.
+	Cold        bool   // Cold is the target's own word.
+}
+
+// Lane is one VM's way to one target.
+type Lane[T any, P wqlimit.Policy] struct {
+	limiter wqlimit.Limiter[P]
+	gate    wqcold.Gate
+	queue   wqqueue.Queue[Job[T]]
+	batch   int
+	mean    time.Duration
+}
+
+// New returns a Lane without a share, with a queue of at most capacity jobs.
+func New[T any, P wqlimit.Policy](policy P, capacity int) *Lane[T, P] {
+	return &Lane[T, P]{
+		limiter: wqlimit.Limiter[P]{Policy: policy},
+		queue:   wqqueue.Queue[Job[T]]{Capacity: capacity},
+		batch:   1,
+	}
+}
+
+// SetShare sets this VM's rights on the target: requests at once when warm and
+// in cold start, the time of the target's cold start, and the sub-queries that
+// it takes in one request.
+func (l *Lane[T, P]) SetShare(slots, coldSlots int, warm time.Duration, batch int) {
+	l.limiter.Share = slots
+	l.gate.Share = slots
+	l.gate.ColdShare = coldSlots
+	l.gate.Warm = warm
+	l.batch = max(batch, 1)
+}
+
+// Offer queues a job. It returns false when the job cannot be served in time or
+// the target may be sent nothing.
+func (l *Lane[T, P]) Offer(now time.Time, j Job[T]) bool {
+	allowed := l.allowed(now)
+	if allowed == 0 {
+		return false
+	}
+	if now.Add(l.expected(allowed)).After(j.Deadline) {
+		return false
+	}
+	return l.queue.Push(j, j.Deadline)
+}
+
+// Next returns the jobs to send in one request now, for which it takes a slot,
+// and those to refuse because too little time is left. No jobs to send means
+// that a slot or work is lacking.
+func (l *Lane[T, P]) Next(now time.Time) (send, refuse []Job[T]) {
+	if l.limiter.InFlight() == 0 && l.allowed(now) == 0 {
+		return nil, l.dropAll()
+	}
+	refuse = l.dropHopeless(now)
+	if l.queue.Len() == 0 || !l.limiter.Acquire(l.gate.Allowed(now)) {
+		return nil, refuse
+	}
+	return l.take(), refuse
+}
+
+// Done gives back the slot of a request that was sent.
+func (l *Lane[T, P]) Done(now time.Time, o Outcome) {
+	l.limiter.Release(wqlimit.Sample{Started: o.Started, Ended: now, Status: o.Status})
+	l.learn(now, o)
+	if o.Status == wqreport.Answered {
+		l.measure(now.Sub(o.Started))
+	}
+}
+
+// Cancel gives back the slot of a request that was never sent.
+func (l *Lane[T, P]) Cancel() { l.limiter.Cancel() }
+
+// Suspect notes that an idle connection to the target was lost.
+func (l *Lane[T, P]) Suspect() { l.gate.Suspect() }
+
+// Hint notes what the target's health endpoint says; it can only make the lane
+// more careful.
+func (l *Lane[T, P]) Hint(now time.Time, incarnation string, cold bool) {
+	l.gate.Hint(now, incarnation, cold)
+}
+
+// Cold reports whether the target is treated as cold.
+func (l *Lane[T, P]) Cold() bool { return l.gate.Cold() }
+
+// Latency returns the running mean time of the target's answers; 0 is unknown.
+func (l *Lane[T, P]) Latency() time.Duration { return l.mean }
+
+// NextRefusal returns when Next has to be called to refuse the first queued job
+// in time; false means that none is queued.
+func (l *Lane[T, P]) NextRefusal() (time.Time, bool) {
+	_, deadline, ok := l.queue.First()
+	return deadline.Add(-l.leastTime()), ok
+}
+
+// Queued returns how many jobs wait.
+func (l *Lane[T, P]) Queued() int { return l.queue.Len() }
+
+// InFlight returns how many requests are in flight.
+func (l *Lane[T, P]) InFlight() int { return l.limiter.InFlight() }
+
+func (l *Lane[T, P]) allowed(now time.Time) int {
+	return min(l.limiter.Limit(), l.gate.Allowed(now))
+}
+
+// expected is the time until a new job would be answered.
+func (l *Lane[T, P]) expected(allowed int) time.Duration {
+	ahead := l.queue.Len()/l.batch + max(l.limiter.InFlight()-allowed+1, 0)
+	waits := time.Duration(ahead) * l.mean / time.Duration(allowed)
+	return waits + l.mean
+}
+
+func (l *Lane[T, P]) dropAll() []Job[T] {
+	var refuse []Job[T]
+	for {
+		j, _, ok := l.queue.Pop()
+		if !ok {
+			return refuse
+		}
+		refuse = append(refuse, j)
+	}
+}
+
+// leastTime is the time left below which a job is not sent.
+func (l *Lane[T, P]) leastTime() time.Duration {
+	return time.Duration(float64(l.mean) * hopeless)
+}
+
+func (l *Lane[T, P]) dropHopeless(now time.Time) []Job[T] {
+	var refuse []Job[T]
+	least := l.leastTime()
+	for {
+		_, deadline, ok := l.queue.First()
+		if !ok || deadline.Sub(now) > least {
+			return refuse
+		}
+		j, _, _ := l.queue.Pop()
+		refuse = append(refuse, j)
+	}
+}
+
+// take removes the next batch from the queue.
+func (l *Lane[T, P]) take() []Job[T] {
+	first, _, _ := l.queue.Pop()
+	send := []Job[T]{first}
+	for len(send) < l.batch && !first.Alone {
+		next, _, ok := l.queue.First()
+		if !ok || next.Alone {
+			break
+		}
+		_, _, _ = l.queue.Pop()
+		send = append(send, next)
+	}
+	return send
+}
+
+func (l *Lane[T, P]) learn(now time.Time, o Outcome) {
+	switch o.Status {
+	case wqreport.Unreachable, wqreport.Broken:
+		l.gate.Suspect()
+	case wqreport.Answered, wqreport.SnapshotGone, wqreport.Shed, wqreport.Draining, wqreport.NotRun:
+		l.gate.Answered(now, o.Incarnation, o.Cold)
+	}
+}
+
+func (l *Lane[T, P]) measure(latency time.Duration) {
+	if l.mean == 0 {
+		l.mean = latency
+		return
+	}
+	l.mean += time.Duration(float64(latency-l.mean) * smoothing)
+}
--- /dev/null
+++ b/io/wqholder/dispatch.go
@@ -0,0 +1,148 @@
+package wqholder
+
+import (
+	"context"
+	"time"
+
+	"wisteriaquay/core/wqlane"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqtarget"
+)
+
+// offer puts a task into the lane of its searcher, or ends it.
+func (h *Holder[C, P]) offer(now time.Time, searcherID string, t *task) {
+	v := h.View()
+	if status := h.check(v, searcherID, now); status != wqreport.Answered {
+		t.refuse(status)
+		return
+	}
+	l := h.lane(v, v.Index.Searcher(searcherID))
+	if l == nil {
+		t.refuse(wqreport.NotHeld)
+		return
+	}
+	accepted, send, refuse := l.offer(now, t)
+	if !accepted {
+		t.refuse(wqreport.NotRun)
+		return
+	}
+	h.proceed(l, send, refuse)
+}
+
+// check returns why nothing may be sent to a searcher now, or Answered when it
+// may.
+func (h *Holder[C, P]) check(v *wqview.View, searcherID string, now time.Time) wqreport.Status {
+	if v == nil || v.Index == nil || v.Isolated {
+		return wqreport.NotRun
+	}
+	if h.FreshFor > 0 && now.Sub(v.FreshAt) > h.FreshFor {
+		return wqreport.NotRun
+	}
+	s := v.Index.Searcher(searcherID)
+	if s == nil {
+		return wqreport.NotHeld
+	}
+	if _, held := v.Share(searcherID); !held {
+		return wqreport.NotHeld
+	}
+	if v.Index.ZoneOut(s.Zone) || v.Index.ZoneOut(v.Self.Zone) {
+		return wqreport.ZoneOut
+	}
+	if v.Targets[searcherID].Leaving {
+		return wqreport.Draining
+	}
+	return wqreport.Answered
+}
+
+// proceed starts a request and ends the refused tasks.
+func (h *Holder[C, P]) proceed(l *lane[P], send, refuse []wqlane.Job[*task]) {
+	refuseAll(refuse, wqreport.NotRun)
+	if len(send) > 0 {
+		go h.work(l, send)
+	}
+}
+
+func refuseAll(jobs []wqlane.Job[*task], status wqreport.Status) {
+	for _, j := range jobs {
+		j.Item.refuse(status)
+	}
+}
+
+// work sends requests of a lane until it has no more to send on this slot.
+func (h *Holder[C, P]) work(l *lane[P], send []wqlane.Job[*task]) {
+	for len(send) > 0 {
+		var refuse []wqlane.Job[*task]
+		send, refuse = h.exchange(l, send)
+		refuseAll(refuse, wqreport.NotRun)
+	}
+}
+
+// exchange sends one request, ends its tasks and returns what comes next.
+func (h *Holder[C, P]) exchange(l *lane[P], jobs []wqlane.Job[*task]) (send, refuse []wqlane.Job[*task]) {
+	now := time.Now()
+	l.mu.Lock()
+	s := l.searcher
+	l.mu.Unlock()
+	if status := h.check(h.View(), s.ID, now); status != wqreport.Answered {
+		refuseAll(jobs, status)
+		return l.cancel(now)
+	}
+	tasks := waiting(jobs)
+	if len(tasks) == 0 {
+		return l.cancel(now)
+	}
+	if tasks[0].write != nil {
+		return h.sendWrite(l, s, tasks[0])
+	}
+	return h.sendSearch(l, s, tasks)
+}
+
+// waiting returns the tasks that somebody still waits for.
+func waiting(jobs []wqlane.Job[*task]) []*task {
+	tasks := make([]*task, 0, len(jobs))
+	for _, j := range jobs {
+		if !j.Item.gone.Load() {
+			tasks = append(tasks, j.Item)
+		}
+	}
+	return tasks
+}
+
+func latest(tasks []*task) time.Time {
+	var last time.Time
+	for _, t := range tasks {
+		if t.deadline.After(last) {
+			last = t.deadline
+		}
+	}
+	return last
+}
+
+func remainingMillis(now, deadline time.Time) float64 {
+	return float64(deadline.Sub(now)) / float64(time.Millisecond)
+}
+
+func queries(now time.Time, tasks []*task) []wqtarget.Query {
+	batch := make([]wqtarget.Query, len(tasks))
+	for i, t := range tasks {
+		batch[i] = wqtarget.Query{
+			RequestID:       t.fan.request.RequestId,
+			Service:         t.fan.request.Service,
+			Shard:           t.sub.Shard,
+			Snapshot:        t.fan.request.Snapshot,
+			Body:            t.fan.request.Body,
+			Limit:           t.fan.limit,
+			RemainingMillis: remainingMillis(now, t.deadline),
+		}
+	}
+	return batch
+}
+
+// background returns a context that ends at the last deadline of the tasks and
+// when nobody waits for any of them.
+func background(tasks []*task) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(context.Background(), latest(tasks))
+	newGroup(tasks, cancel)
+	return ctx, cancel
+}
--- /dev/null
+++ b/io/wqholder/fan.go
@@ -0,0 +1,161 @@
+package wqholder
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/io/wqpb"
+)
+
+const (
+	// mostSubQueries bounds the sub-queries of one request.
+	mostSubQueries = 8192
+	// mostBodyBytes bounds the body of a query, in bytes.
+	mostBodyBytes = 64 << 10
+	// defaultLimit is how many rows travel when the request names no limit.
+	defaultLimit = 100
+	// mostRows bounds the limit of a request.
+	mostRows = 1000
+)
+
+// fan is one FanRequest in progress.
+type fan struct {
+	request *wqpb.FanRequest
+	limit   int
+	arrived time.Time
+	tasks   []task
+	results chan result // results has room for every task, so that no sender waits.
+	open    int         // open counts the tasks without a result.
+}
+
+// Fan implements wqpbconnect.ShardServiceHandler.
+func (h *Holder[C, P]) Fan(ctx context.Context, r *connect.Request[wqpb.FanRequest], stream *connect.ServerStream[wqpb.FanPart]) error {
+	err := h.FanTo(ctx, r.Msg, stream.Send)
+	if err == nil {
+		return nil
+	}
+	if wqfault.KindOf(err) == wqfault.BadInput {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return err
+}
+
+// FanTo sends each sub-query to its searcher and gives the results to send as
+// they arrive, several to a part when they arrive together. Every sub-query
+// gets exactly one result by the deadline. The error is a BadInput fault, the
+// error of send, or that of a cancelled ctx; then the requests in flight are
+// cancelled.
+func (h *Holder[C, P]) FanTo(ctx context.Context, r *wqpb.FanRequest, send func(*wqpb.FanPart) error) error {
+	if err := checkRequest(r); err != nil {
+		return err
+	}
+	f := newFan(r, time.Now())
+	deadline := f.arrived.Add(time.Duration(r.RemainingMicros) * time.Microsecond)
+	for i, sub := range r.SubQueries {
+		t := &f.tasks[i]
+		t.fan, t.sub, t.deadline = f, sub, deadline
+		h.offer(f.arrived, sub.Searcher, t)
+	}
+	defer f.abandon()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return f.collect(ctx, send)
+}
+
+func checkRequest(r *wqpb.FanRequest) error {
+	switch {
+	case len(r.SubQueries) > mostSubQueries:
+		return wqfault.New(wqfault.BadInput, fmt.Sprintf("the request has %d sub-queries", len(r.SubQueries)),
+			fmt.Sprintf("send at most %d in one request", mostSubQueries))
+	case len(r.Body) > mostBodyBytes:
+		return wqfault.New(wqfault.BadInput, fmt.Sprintf("the body has %d bytes", len(r.Body)),
+			fmt.Sprintf("send at most %d bytes", mostBodyBytes))
+	case r.Limit > mostRows:
+		return wqfault.New(wqfault.BadInput, fmt.Sprintf("the limit is %d rows", r.Limit),
+			fmt.Sprintf("ask for at most %d rows", mostRows))
+	}
+	return nil
+}
+
+func newFan(r *wqpb.FanRequest, now time.Time) *fan {
+	limit := int(r.Limit)
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	return &fan{
+		request: r,
+		limit:   limit,
+		arrived: now,
+		tasks:   make([]task, len(r.SubQueries)),
+		results: make(chan result, len(r.SubQueries)),
+		open:    len(r.SubQueries),
+	}
+}
+
+// collect passes the results on until all are there or the time is over.
+func (f *fan) collect(ctx context.Context, send func(*wqpb.FanPart) error) error {
+	for f.open > 0 {
+		select {
+		case r := <-f.results:
+			if err := f.pass(r, send); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return f.expire(ctx, send)
+		}
+	}
+	return nil
+}
+
+// pass sends a result together with those that are there already.
+func (f *fan) pass(first result, send func(*wqpb.FanPart) error) error {
+	p := newPart(f)
+	p.add(first)
+	f.open--
+	for {
+		select {
+		case r := <-f.results:
+			f.open--
+			if !p.add(r) {
+				if err := send(p.finish()); err != nil {
+					return eris.Wrap(err, "send a part")
+				}
+				p = newPart(f)
+				p.add(r)
+			}
+		default:
+			return eris.Wrap(send(p.finish()), "send a part")
+		}
+	}
+}
+
+// expire ends the open tasks when the deadline has passed.
+func (f *fan) expire(ctx context.Context, send func(*wqpb.FanPart) error) error {
+	if ctx.Err() != context.DeadlineExceeded {
+		return eris.Wrap(ctx.Err(), "the entry cancelled the request")
+	}
+	p := newPart(f)
+	for i := range f.tasks {
+		t := &f.tasks[i]
+		if !t.reported {
+			p.add(result{task: t, status: wqreport.Expired, sent: t.group.Load() != nil})
+		}
+	}
+	return eris.Wrap(send(p.finish()), "send a part")
+}
+
+// abandon cancels the requests that nobody waits for any more.
+func (f *fan) abandon() {
+	if f.open == 0 {
+		return
+	}
+	for i := range f.tasks {
+		f.tasks[i].abandon()
+	}
+}
--- /dev/null
+++ b/io/wqholder/holder.go
@@ -0,0 +1,138 @@
+// Package wqholder sends sub-queries and write-like requests to the searchers
+// that this VM holds. Every searcher has one lane, which keeps this VM within
+// its share of the searcher's slots, connections and cold start.
+//
+// Whether something may be sent is decided when it leaves the queue, against
+// the view of that moment: a VM that was paused, or cut off, sends none of its
+// old work.
+//
+// # Usage
+//
+//	holder, closeHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
+//	defer closeHolder()
+//	holder.View = node.View
+//	holder.Report = node.Report
+//	go holder.Run(ctx)
+//	path, handler := wqpbconnect.NewShardServiceHandler(holder)
+//	err := holder.FanTo(ctx, request, func(p *wqpb.FanPart) error { ... })
+//	response, err := holder.DispatchWrite(ctx, dispatch)
+package wqholder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqtarget"
+)
+
+const (
+	// defaultQueueLength bounds the jobs that wait for one searcher.
+	defaultQueueLength = 1024
+	// defaultProbeEvery spaces the health probes of one searcher.
+	defaultProbeEvery = time.Second
+)
+
+// Client is what a Holder needs to reach searchers; see wqtarget.Client.
+type Client interface {
+	Search(ctx context.Context, s *wqtopology.Searcher, batch []wqtarget.Query) (wqtarget.Reply, error)
+	Write(ctx context.Context, s *wqtopology.Searcher, w wqtarget.Write) (wqtarget.WriteReply, error)
+	Health(ctx context.Context, s *wqtopology.Searcher) (wqtarget.Health, error)
+	Warm(ctx context.Context, s *wqtopology.Searcher, n int) error
+	Limit(s *wqtopology.Searcher, connections int)
+	Forget(searcherID string)
+}
+
+// Holder is this VM's way to the searchers that it holds. Set the exported
+// fields before use; all methods are safe for concurrent use.
+type Holder[C Client, P wqlimit.Policy] struct {
+	Client      C
+	Policy      func() P              // Policy makes the concurrency policy of one searcher.
+	View        func() *wqview.View   // View returns the control state of this moment.
+	Report      func(wqreport.Target) // Report takes what was observed; it must not block.
+	QueueLength int                   // QueueLength bounds the jobs that wait for one searcher.
+	FreshFor    time.Duration         // FreshFor is the age of a view above which nothing is sent; 0 sets no bound.
+	ProbeEvery  time.Duration         // ProbeEvery spaces the health probes of one searcher.
+	Batch       int                   // Batch bounds the sub-queries of one request under the searcher's own bound; 0 sets no bound.
+
+	mu    sync.RWMutex
+	lanes map[string]*lane[P]
+}
+
+// New returns a Holder and the function that stops its timers.
+func New[C Client, P wqlimit.Policy](client C, policy func() P) (*Holder[C, P], func()) {
+	h := &Holder[C, P]{
+		Client:      client,
+		Policy:      policy,
+		View:        func() *wqview.View { return nil },
+		Report:      func(wqreport.Target) {},
+		QueueLength: defaultQueueLength,
+		ProbeEvery:  defaultProbeEvery,
+		lanes:       make(map[string]*lane[P]),
+	}
+	return h, h.close
+}
+
+// Suspect notes that a searcher closed an idle connection: it may have
+// restarted. Give it to the client as Lost.
+func (h *Holder[C, P]) Suspect(searcherID string) {
+	if l := h.find(searcherID); l != nil {
+		l.suspect()
+	}
+}
+
+// lane returns the lane of a searcher that this VM holds, or nil.
+func (h *Holder[C, P]) lane(v *wqview.View, s *wqtopology.Searcher) *lane[P] {
+	share, held := v.Share(s.ID)
+	if !held {
+		return nil
+	}
+	l := h.find(s.ID)
+	if l == nil {
+		l = h.makeLane(s)
+	}
+	if l.setShare(s, share, h.batch(s)) {
+		h.Client.Limit(s, share.Connections)
+	}
+	return l
+}
+
+func (h *Holder[C, P]) batch(s *wqtopology.Searcher) int {
+	if h.Batch > 0 {
+		return min(h.Batch, s.Batch)
+	}
+	return s.Batch
+}
+
+func (h *Holder[C, P]) find(searcherID string) *lane[P] {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.lanes[searcherID]
+}
+
+func (h *Holder[C, P]) makeLane(s *wqtopology.Searcher) *lane[P] {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.lanes[s.ID]
+	if l == nil {
+		l = newLane(h.Policy(), h.QueueLength)
+		l.expire = func() {
+			send, refuse := l.wake(time.Now())
+			h.proceed(l, send, refuse)
+		}
+		h.lanes[s.ID] = l
+	}
+	return l
+}
+
+func (h *Holder[C, P]) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, l := range h.lanes {
+		l.stop()
+	}
+}
--- /dev/null
+++ b/io/wqholder/keep.go
@@ -0,0 +1,90 @@
+package wqholder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqtarget"
+)
+
+// probesAtOnce bounds the health probes that run together.
+const probesAtOnce = 16
+
+// Run keeps the lanes in step with the view until ctx ends: it opens
+// connections to searchers newly held, probes the health of the held ones and
+// forgets the others.
+func (h *Holder[C, P]) Run(ctx context.Context) {
+	ticker := time.NewTicker(h.ProbeEvery)
+	defer ticker.Stop()
+	for {
+		h.keep(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Holder[C, P]) keep(ctx context.Context) {
+	v := h.View()
+	if v == nil || v.Index == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.ProbeEvery)
+	defer cancel()
+	places := make(chan struct{}, probesAtOnce)
+	var probes sync.WaitGroup
+	for i := range v.Index.Topology.Searchers {
+		s := &v.Index.Topology.Searchers[i]
+		if h.check(v, s.ID, time.Now()) != wqreport.Answered {
+			continue
+		}
+		places <- struct{}{}
+		probes.Go(func() {
+			h.tend(ctx, v, s)
+			<-places
+		})
+	}
+	probes.Wait()
+	h.forget(v)
+}
+
+// tend probes a held searcher, over as many connections as lack.
+func (h *Holder[C, P]) tend(ctx context.Context, v *wqview.View, s *wqtopology.Searcher) {
+	l := h.lane(v, s)
+	if l == nil {
+		return
+	}
+	if n := l.toWarm(); n > 0 {
+		_ = h.Client.Warm(ctx, s, n)
+	}
+	health, err := h.Client.Health(ctx, s)
+	if err != nil {
+		l.doubt(wqtarget.FailureOf(err).Status)
+		return
+	}
+	l.hint(time.Now(), health.Incarnation, health.Cold)
+	if health.Draining {
+		h.Report(wqreport.Target{SearcherID: s.ID, At: time.Now(), Status: wqreport.Draining, Incarnation: health.Incarnation})
+	}
+}
+
+// forget drops the lanes of searchers that may not be sent anything, so that
+// they count as cold when they come back.
+func (h *Holder[C, P]) forget(v *wqview.View) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, l := range h.lanes {
+		status := h.check(v, id, time.Now())
+		if (status == wqreport.NotHeld || status == wqreport.ZoneOut) && l.idle() {
+			l.stop()
+			delete(h.lanes, id)
+			h.Client.Forget(id)
+		}
+	}
+}
--- /dev/null
+++ b/io/wqholder/lane.go
@@ -0,0 +1,139 @@
+package wqholder
+
+import (
+	"sync"
+	"time"
+
+	"wisteriaquay/core/wqlane"
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+)
+
+// lane shares one searcher's wqlane.Lane among goroutines.
+type lane[P wqlimit.Policy] struct {
+	mu       sync.Mutex
+	state    *wqlane.Lane[*task, P]
+	searcher *wqtopology.Searcher
+	share    wqview.Holder
+	batch    int
+	timer    *time.Timer // timer wakes the lane to refuse queued tasks in time.
+	expire   func()
+	warmed   bool // warmed is true once the connections of the share were opened.
+}
+
+func newLane[P wqlimit.Policy](policy P, queueLength int) *lane[P] {
+	return &lane[P]{state: wqlane.New[*task](policy, queueLength)}
+}
+
+// toWarm returns how many connections to open now: those of the share's slots
+// once after the share changed.
+func (l *lane[P]) toWarm() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.warmed {
+		return 0
+	}
+	l.warmed = true
+	return min(l.share.Slots, l.share.Connections)
+}
+
+func (l *lane[P]) hint(now time.Time, incarnation string, cold bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Hint(now, incarnation, cold)
+}
+
+// setShare adopts this VM's present rights and reports whether they changed.
+func (l *lane[P]) setShare(s *wqtopology.Searcher, share wqview.Holder, batch int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.searcher == s && l.share == share && l.batch == batch {
+		return false
+	}
+	l.searcher, l.share, l.batch = s, share, batch
+	l.warmed = false
+	slots := min(share.Slots, share.Connections)
+	l.state.SetShare(slots, share.ColdSlots, time.Duration(s.WarmMillis)*time.Millisecond, batch)
+	return true
+}
+
+// doubt suspects a restart after a probe that ended with a lost connection.
+func (l *lane[P]) doubt(status wqreport.Status) {
+	if status == wqreport.Unreachable || status == wqreport.Broken {
+		l.suspect()
+	}
+}
+
+func (l *lane[P]) suspect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Suspect()
+}
+
+// offer queues a task and returns what to send and refuse now.
+func (l *lane[P]) offer(now time.Time, t *task) (accepted bool, send, refuse []wqlane.Job[*task]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.state.Offer(now, wqlane.Job[*task]{Item: t, Deadline: t.deadline, Alone: t.write != nil}) {
+		return false, nil, nil
+	}
+	send, refuse = l.next(now)
+	return true, send, refuse
+}
+
+// done gives a slot back and returns what to send and refuse now.
+func (l *lane[P]) done(now time.Time, o wqlane.Outcome) (send, refuse []wqlane.Job[*task]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Done(now, o)
+	return l.next(now)
+}
+
+// cancel gives an unused slot back and returns what to send and refuse now.
+func (l *lane[P]) cancel(now time.Time) (send, refuse []wqlane.Job[*task]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Cancel()
+	return l.next(now)
+}
+
+// wake returns what to send and refuse now.
+func (l *lane[P]) wake(now time.Time) (send, refuse []wqlane.Job[*task]) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.next(now)
+}
+
+func (l *lane[P]) next(now time.Time) (send, refuse []wqlane.Job[*task]) {
+	send, refuse = l.state.Next(now)
+	at, queued := l.state.NextRefusal()
+	if queued {
+		l.wakeAt(now, at)
+	}
+	return send, refuse
+}
+
+func (l *lane[P]) wakeAt(now, at time.Time) {
+	if l.timer == nil {
+		l.timer = time.AfterFunc(at.Sub(now), l.expire)
+		return
+	}
+	l.timer.Reset(at.Sub(now))
+}
+
+func (l *lane[P]) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+}
+
+// idle reports whether nothing is queued or in flight.
+func (l *lane[P]) idle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Queued() == 0 && l.state.InFlight() == 0
+}
--- /dev/null
+++ b/io/wqholder/part.go
@@ -0,0 +1,142 @@
+package wqholder
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/io/wqtarget"
+)
+
+// part gathers the results of one FanPart.
+type part struct {
+	fan     *fan
+	results []result
+}
+
+// ranked is a row with the snapshot and the shard that it comes from.
+type ranked struct {
+	row      *wqtarget.Row
+	shard    string
+	snapshot uint64
+}
+
+func newPart(f *fan) *part { return &part{fan: f} }
+
+// add takes a result, unless the part has an answer of the same shard: its rows
+// would be mistaken for each other.
+func (p *part) add(r result) bool {
+	if r.answered() && slices.ContainsFunc(p.results, r.sameShard) {
+		return false
+	}
+	r.task.reported = true
+	p.results = append(p.results, r)
+	return true
+}
+
+func (r result) answered() bool { return r.status == wqreport.Answered && r.answer != nil }
+
+func (r result) sameShard(other result) bool {
+	return other.answered() && other.task.sub.Shard == r.task.sub.Shard
+}
+
+// finish returns the part with its results and the best rows of each snapshot.
+func (p *part) finish() *wqpb.FanPart {
+	now := time.Now()
+	messages := make([]wqpb.SubResult, len(p.results))
+	out := &wqpb.FanPart{
+		RequestId: p.fan.request.RequestId,
+		Results:   make([]*wqpb.SubResult, len(p.results)),
+	}
+	for i := range p.results {
+		p.fill(&messages[i], &p.results[i], now)
+		out.Results[i] = &messages[i]
+	}
+	out.Rows = rowMessages(p.bestRows())
+	return out
+}
+
+func (p *part) fill(m *wqpb.SubResult, r *result, now time.Time) {
+	m.Shard = r.task.sub.Shard
+	m.Searcher = r.task.sub.Searcher
+	m.Status = SubStatus(r.status)
+	m.Oldest, m.Newest = r.oldest, r.newest
+	m.Micros = uint32(now.Sub(p.fan.arrived).Microseconds())
+	if r.sent {
+		m.Sent = 1
+	}
+	if r.answer != nil {
+		m.Snapshot = r.answer.Snapshot
+		m.Matched = r.answer.Matched
+	}
+}
+
+// bestRows returns at most the limit of rows of each snapshot, best first. Rows
+// of one snapshot never displace those of another.
+func (p *part) bestRows() []ranked {
+	rows := p.allRows()
+	slices.SortFunc(rows, compareRows)
+	kept := rows[:0]
+	count := 0
+	for i, r := range rows {
+		if i > 0 && r.snapshot != rows[i-1].snapshot {
+			count = 0
+		}
+		if count < p.fan.limit {
+			kept = append(kept, r)
+		}
+		count++
+	}
+	return kept
+}
+
+func (p *part) allRows() []ranked {
+	total := 0
+	for i := range p.results {
+		if p.results[i].answered() {
+			total += len(p.results[i].answer.Rows)
+		}
+	}
+	rows := make([]ranked, 0, total)
+	for i := range p.results {
+		r := &p.results[i]
+		if !r.answered() {
+			continue
+		}
+		for j := range r.answer.Rows {
+			rows = append(rows, ranked{&r.answer.Rows[j], r.answer.Shard, r.answer.Snapshot})
+		}
+	}
+	return rows
+}
+
+func compareRows(a, b ranked) int {
+	return cmp.Or(
+		cmp.Compare(a.snapshot, b.snapshot),
+		cmp.Compare(b.row.Score, a.row.Score),
+		strings.Compare(a.row.Key, b.row.Key),
+		strings.Compare(a.shard, b.shard),
+	)
+}
+
+func rowMessages(rows []ranked) []*wqpb.Row {
+	if len(rows) == 0 {
+		return nil
+	}
+	messages := make([]wqpb.Row, len(rows))
+	out := make([]*wqpb.Row, len(rows))
+	for i, r := range rows {
+		m := &messages[i]
+		m.Shard, m.Key, m.Score, m.Body = r.shard, r.row.Key, r.row.Score, r.row.Body
+		out[i] = m
+	}
+	return out
+}
+
+// SubStatus returns the wire form of a status.
+func SubStatus(s wqreport.Status) wqpb.SubStatus {
+	return wqpb.SubStatus(s) + wqpb.SubStatus_SUB_STATUS_ANSWERED
+}
--- /dev/null
+++ b/test/wqsearcher/holder_test.go
@@ -0,0 +1,134 @@
+package wqsearcher_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqholder"
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/io/wqtarget"
+	"wisteriaquay/test/wqsearcher"
+)
+
+const seed = 7
+
+// bench is the searcher of the bench terminals, made quick for tests.
+func bench() wqsearcher.Knobs {
+	return wqsearcher.Knobs{
+		Slots: 3, Batch: 8, Connections: 30, ConnectMillis: 6, ServiceMillis: 4, BatchShare: 0.1,
+		ColdSlots: 1, Oldest: 5, Newest: 7,
+	}
+}
+
+// fleet is searchers that serve on loopback and the topology that names them.
+type fleet struct {
+	servers  []*wqsearcher.Server
+	topology wqtopology.Topology
+}
+
+func startFleet(t *testing.T, shards int, k wqsearcher.Knobs) *fleet {
+	t.Helper()
+	f := &fleet{topology: wqtopology.Topology{Revision: 1, Zones: []wqtopology.Zone{{ID: "a"}, {ID: "b"}}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var servers sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		servers.Wait()
+	})
+	for i := range shards {
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		shard := fmt.Sprintf("b%03d", i)
+		s := wqsearcher.New("bench-"+shard, "bench", shard, k, seed)
+		servers.Go(func() { _ = s.Serve(ctx, l) })
+		f.servers = append(f.servers, s)
+		f.topology.Searchers = append(f.topology.Searchers, wqtopology.Searcher{
+			ID: s.ID, Address: l.Addr().String(), Zone: "a", Service: "bench", Shard: shard,
+			Slots: k.Slots, Connections: k.Connections, Batch: k.Batch, ColdSlots: k.ColdSlots, WarmMillis: int(k.WarmMillis),
+		})
+	}
+	return f
+}
+
+// view gives VM id a share of every searcher.
+func (f *fleet) view(id string, share wqview.Holder) *wqview.View {
+	share.MemberID = id
+	v := &wqview.View{
+		Self:    wqmember.Member{ID: id, Zone: "a"},
+		Index:   wqtopology.NewIndex(&f.topology),
+		Holders: make(map[string][]wqview.Holder),
+	}
+	for _, s := range f.topology.Searchers {
+		v.Holders[s.ID] = []wqview.Holder{share}
+	}
+	return v
+}
+
+type holder = wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
+
+func newHolder(t *testing.T, view func() *wqview.View) *holder {
+	t.Helper()
+	client, closeClient := wqtarget.New()
+	h, closeHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
+	client.Lost = h.Suspect
+	h.View = view
+	t.Cleanup(func() {
+		closeHolder()
+		closeClient()
+	})
+	return h
+}
+
+func (f *fleet) request(id string, timeout time.Duration) *wqpb.FanRequest {
+	r := &wqpb.FanRequest{
+		RequestId: id, Service: "bench", Snapshot: 7, Body: []byte("needle"), Limit: 10,
+		RemainingMicros: uint32(timeout.Microseconds()),
+	}
+	for _, s := range f.topology.Searchers {
+		r.SubQueries = append(r.SubQueries, &wqpb.SubQuery{Shard: s.Shard, Searcher: s.ID})
+	}
+	return r
+}
+
+// fan returns the results by shard and all rows of one request.
+func fan(t *testing.T, h *holder, r *wqpb.FanRequest) (map[string]*wqpb.SubResult, []*wqpb.Row) {
+	t.Helper()
+	results := make(map[string]*wqpb.SubResult)
+	var rows []*wqpb.Row
+	err := h.FanTo(context.Background(), r, func(p *wqpb.FanPart) error {
+		must.EqOp(t, r.RequestId, p.RequestId)
+		for _, s := range p.Results {
+			must.MapNotContainsKey(t, results, s.Shard)
+			results[s.Shard] = s
+		}
+		rows = append(rows, p.Rows...)
+		return nil
+	})
+	must.NoError(t, err)
+	must.MapLen(t, len(r.SubQueries), results)
+	return results, rows
+}
+
+func TestHolderAnswersWholeFan(t *testing.T) {
+	f := startFleet(t, 20, bench())
+	v := f.view("vm-1", wqview.Holder{Slots: 3, Connections: 30, ColdSlots: 1})
+	h := newHolder(t, func() *wqview.View { return v })
+	results, rows := fan(t, h, f.request("q-1", time.Second))
+	for _, s := range f.topology.Searchers {
+		must.EqOp(t, wqholder.SubStatus(wqreport.Answered), results[s.Shard].Status)
+		want := wqsearcher.Rows("bench", s.Shard, 7, []byte("needle"))
+		must.EqOp(t, uint32(len(want)), results[s.Shard].Matched)
+	}
+	must.SliceNotEmpty(t, rows)
+}
