--- a/cmd/wisteriaquay/serve.go
+++ b/cmd/wisteriaquay/serve.go
@@ -3,7 +3,16 @@
 import (
 	"context"
 
+	"wisteriaquay/io/wqlog"
+	"wisteriaquay/io/wqnode"
 	"wisteriaquay/io/wqsetting"
 )
 
-func serve(context.Context, console, *wqsetting.Settings) error { return nil }
+// serve runs an entry VM until ctx ends.
+func serve(ctx context.Context, c console, s *wqsetting.Settings) error {
+	n := &wqnode.Node{
+		Settings: s,
+		Log:      wqlog.New(c.Err, s.Identity.ID, s.Limits.LogPerSecond),
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/io/wqnode/node.go
@@ -0,0 +1,213 @@
+// Package wqnode is one VM of the tier: it starts the control loop, the
+// listeners and the clients, and stops them in order.
+//
+// # Usage
+//
+//	n := &wqnode.Node{Settings: settings, Log: log}
+//	err := n.Run(ctx) // returns after a graceful stop once ctx has ended
+//
+// Run returns an error when a setting or a listener can't be used, or when the
+// stop had to cut requests.
+package wqnode
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriaquay/core/wqcontrol"
+	"wisteriaquay/core/wqhedge"
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqreplica"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqcaller"
+	"wisteriaquay/io/wqdial"
+	"wisteriaquay/io/wqentry"
+	"wisteriaquay/io/wqholder"
+	"wisteriaquay/io/wqkeys"
+	"wisteriaquay/io/wqloop"
+	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqpb/wqpbconnect"
+	"wisteriaquay/io/wqsetting"
+	"wisteriaquay/io/wqstore"
+	"wisteriaquay/io/wqtarget"
+	"wisteriaquay/io/wqvmlist"
+)
+
+const (
+	inboxSize  = 4096                  // inboxSize bounds the events that wait for the control loop.
+	tickPeriod = 50 * time.Millisecond // tickPeriod is the time between two ticks of the control loop.
+)
+
+// Node is one VM. Set the exported fields before Run.
+type Node struct {
+	Settings *wqsetting.Settings
+	Log      *slog.Logger
+
+	view    atomic.Pointer[wqview.View]
+	loop    *wqloop.Loop[wqcontrol.Event]
+	control *wqcontrol.Control
+	metrics *wqmetric.Metrics
+	keys    *wqkeys.Keys
+	pool    *wqdial.Pool
+	store   *wqstore.Client
+	list    *wqvmlist.Client
+	holder  *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
+	entry   *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
+}
+
+// Run starts the VM and returns when it has stopped.
+func (n *Node) Run(ctx context.Context) error {
+	release, err := n.build()
+	if err != nil {
+		return err
+	}
+	defer release()
+	listeners, err := n.listen(ctx)
+	if err != nil {
+		return err
+	}
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	group, running := errgroup.WithContext(running)
+	n.start(running, group)
+	for _, l := range listeners {
+		group.Go(l.serve)
+	}
+	group.Go(func() error {
+		defer end()
+		<-ctx.Done()
+		return n.stop(running, listeners)
+	})
+	return group.Wait()
+}
+
+// build makes the parts and returns the function that releases them.
+func (n *Node) build() (func(), error) {
+	var err error
+	if n.keys, err = wqkeys.New(n.Settings.Keys); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	n.metrics = wqmetric.New()
+	n.control = wqcontrol.New(wqcontrol.Settings{Self: n.self(now), MaxHolders: n.Settings.Limits.MaxHolders}, now)
+	n.view.Store(n.control.View(now))
+	n.loop = wqloop.New[wqcontrol.Event](inboxSize)
+	n.loop.Period = tickPeriod
+	n.loop.Handle = n.handle
+	n.loop.Tick = func(time.Time) {}
+	platform := &n.Settings.Platform
+	n.store = &wqstore.Client{Address: platform.Store, Timeout: platform.StoreTimeout, HTTP: http.DefaultClient}
+	n.list = &wqvmlist.Client{Address: platform.VMList, Timeout: platform.VMListTimeout, HTTP: http.DefaultClient}
+	pool, releasePool := wqdial.New(wqdial.Settings{TLS: n.keys.PeerDial()})
+	n.pool = pool
+	releaseHolder := n.buildHolder()
+	n.buildEntry()
+	return func() {
+		releaseHolder()
+		releasePool()
+	}, nil
+}
+
+func (n *Node) self(now time.Time) wqmember.Member {
+	i := &n.Settings.Identity
+	epoch := uint64(now.UnixMilli())
+	return wqmember.Member{
+		ID: i.ID, Address: n.Settings.Listeners.Peer, Zone: i.Zone, Region: i.Region,
+		Epoch: epoch, Incarnation: epoch,
+	}
+}
+
+func (n *Node) buildHolder() func() {
+	client, releaseClient := wqtarget.New()
+	holder, releaseHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
+	client.Lost = holder.Suspect
+	holder.View = n.view.Load
+	holder.Report = func(r wqreport.Target) { n.loop.Offer(wqcontrol.TargetSeen{Report: r}) }
+	n.holder = holder
+	return func() {
+		releaseHolder()
+		releaseClient()
+	}
+}
+
+func (n *Node) buildEntry() {
+	n.entry = &wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]{
+		View:    n.view.Load,
+		Local:   localFanner{n.holder},
+		Remote:  n.remote,
+		Replica: wqreplica.Least{Stats: wqreplica.NewStats()},
+		Hedge:   wqentry.Quantile,
+	}
+}
+
+// listen opens the three listeners.
+func (n *Node) listen(ctx context.Context) ([]*listener, error) {
+	addresses := &n.Settings.Listeners
+	open := make([]*listener, 0, 3)
+	for _, o := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"callers", addresses.Caller, n.callerHandler()},
+		{"peers", addresses.Peer, n.peerHandler()},
+		{"admin", addresses.Admin, adminHandler(n.metrics, n.view.Load)},
+	} {
+		keys := n.keys.FrontServer()
+		switch o.name {
+		case "peers":
+			keys = n.keys.PeerServer()
+		case "admin":
+			keys = nil
+		}
+		l, err := listen(ctx, o.name, o.address, keys, o.handler, n.Log)
+		if err != nil {
+			for _, l := range open {
+				_ = l.net.Close()
+			}
+			return nil, err
+		}
+		open = append(open, l)
+	}
+	return open, nil
+}
+
+func (n *Node) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: n.entry, Writes: notWritable{}, Metrics: n.metrics}))
+	return mux
+}
+
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wqpbconnect.NewShardServiceHandler(n.holder))
+	return mux
+}
+
+// start runs the goroutines beside the listeners until ctx ends.
+func (n *Node) start(ctx context.Context, group *errgroup.Group) {
+	run := func(f func(context.Context)) {
+		group.Go(func() error {
+			f(ctx)
+			return nil
+		})
+	}
+	run(n.loop.Run)
+	run(n.holder.Run)
+	run(n.readList)
+	run(n.readStore)
+	run(func(ctx context.Context) { n.keys.Run(ctx, nil) })
+}
+
+// handle is the control loop's step: it alone changes the control state.
+func (n *Node) handle(now time.Time, e wqcontrol.Event) {
+	if n.control.Handle(now, e) {
+		n.view.Store(n.control.View(now))
+	}
+}
--- /dev/null
+++ b/io/wqnode/writes.go
@@ -0,0 +1,28 @@
+package wqnode
+
+import (
+	"context"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqpb"
+)
+
+// notWritable refuses all write-like requests.
+type notWritable struct{}
+
+var errNotWritable = wqfault.New(wqfault.NotReady, "this VM takes no write-like requests", "retry at another VM")
+
+// Ticket refuses.
+func (notWritable) Ticket(context.Context, *wqpb.TicketRequest) (*wqpb.TicketResponse, error) {
+	return nil, errNotWritable
+}
+
+// Write refuses.
+func (notWritable) Write(context.Context, *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
+	return nil, errNotWritable
+}
+
+// Outcome refuses.
+func (notWritable) Outcome(context.Context, *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
+	return nil, errNotWritable
+}
