Track members by heartbeats, suspicion and incarnations

VMs must agree on who takes part without a coordination service, at constant messages a node. The machine is pure: it takes messages and the time and returns what to send. The VM list only names addresses to try.

--- /dev/null
+++ b/core/wqmember/machine.go
@@ -0,0 +1,250 @@
+package wqmember
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"wisteriaquay/core/wqring"
+)
+
+// Machine holds one VM's membership. Only one goroutine may use it.
+type Machine struct {
+	Self   Member // Self is this VM; Incarnation, State and Revision change in use.
+	Random *rand.Rand
+	Timing Timing
+
+	peers      map[string]*peer // peers are the other VMs, by id, dead and left ones included.
+	listed     []Listed         // listed is the VM list without this VM.
+	listedSelf bool             // listedSelf is true once the VM list has shown this VM.
+	leavingOld bool             // leavingOld is true once the VM list has shown a leaving VM.
+	rumours    map[string]*rumour
+	checks     map[string]check   // checks are the VMs that missed a heartbeat and are not suspected yet.
+	relays     map[string][]relay // relays are who waits for a VM that this one was asked to check.
+	outbox     []Send
+	neighbours []string // neighbours are the live VMs that this one sends heartbeats to; see ring.
+	digest     uint64
+	version    uint64
+
+	now          time.Time // now is the time of the latest call.
+	evidenceAt   time.Time // evidenceAt is when a peer was last heard from.
+	nextPing     time.Time
+	nextFlood    time.Time
+	nextContact  time.Time
+	nextRequest  time.Time // nextRequest is when the next whole list may be asked for.
+	nextAnswer   time.Time // nextAnswer is the earliest time of the next whole list sent, less a burst.
+	raisedAt     time.Time
+	synced       bool // synced is true once a whole list came since the start or the last pause.
+	urgent       bool // urgent is true while news waits for a flood.
+	isolated     bool
+	isolatedAt   time.Time
+	ringsChanged bool
+}
+
+// peer is another VM.
+type peer struct {
+	Member
+	heardAt    time.Time // heardAt is the last message from it.
+	pingedAt   time.Time // pingedAt is the last heartbeat to it.
+	failedAt   time.Time // failedAt is the last message that it did not answer.
+	changedAt  time.Time // changedAt is the last change of its state, by this VM's clock.
+	differsAt  time.Time // differsAt is when its digest began to differ; zero while it agrees.
+	introduced bool      // introduced is true once it is sure to know this VM's address.
+	hearsay    bool      // hearsay is true for a dead VM that was known from a list only.
+}
+
+// Start prepares the machine; call it once before anything else.
+func (m *Machine) Start(now time.Time) {
+	m.peers = make(map[string]*peer)
+	m.rumours = make(map[string]*rumour)
+	m.checks = make(map[string]check)
+	m.relays = make(map[string][]relay)
+	m.now, m.nextPing, m.nextFlood, m.nextContact = now, now, now, now
+	m.nextRequest, m.nextAnswer = now, now
+	m.Self.Incarnation = max(m.Self.Incarnation, m.Self.Epoch)
+	m.digest = fingerprint(m.Self)
+}
+
+// Tick does what is due and returns the messages to send.
+func (m *Machine) Tick(now time.Time) []Send {
+	m.observe(now)
+	m.expireChecks()
+	m.judgeIsolation()
+	m.expireSuspicions()
+	m.contact()
+	m.ping()
+	m.flood()
+	sends := m.outbox
+	m.outbox = nil
+	return sends
+}
+
+// Next returns when Tick is due at the latest.
+func (m *Machine) Next() time.Time {
+	next := m.nextPing
+	for _, c := range m.checks {
+		next = earlier(next, c.deadline)
+	}
+	if m.urgent {
+		next = earlier(next, m.nextFlood)
+	}
+	return earlier(next, m.firstSuspicion())
+}
+
+// Receive handles a message from a peer and returns the reply.
+func (m *Machine) Receive(now time.Time, message Message) Message {
+	m.observe(now)
+	from := message.From
+	if from.ID == "" || from.ID == m.Self.ID {
+		m.apply(from, true)
+		return Message{From: m.Self, Digest: m.digest}
+	}
+	m.takeIn(message)
+	if message.Probe != "" {
+		m.help(from.ID, message.Probe)
+	}
+	reply := m.compose(from.ID, m.Timing.Changes)
+	if message.Joining && m.mayAnswer() {
+		reply = m.wholeList()
+	}
+	return reply
+}
+
+// Ack handles the reply to a message.
+func (m *Machine) Ack(now time.Time, reply Message) {
+	m.observe(now)
+	if reply.From.ID == "" || reply.From.ID == m.Self.ID {
+		return
+	}
+	m.takeIn(reply)
+	from := reply.From.ID
+	if p := m.peers[from]; p != nil {
+		p.introduced = true
+	}
+	if reply.Whole {
+		m.compare(reply)
+	}
+	if reply.Joining {
+		m.introduce(from)
+	}
+	m.answerRelays(from)
+}
+
+// Failed handles a message that the VM with this id did not answer in time.
+func (m *Machine) Failed(now time.Time, id string) {
+	m.observe(now)
+	if p := m.peers[id]; p != nil && p.State.Live() {
+		p.failedAt = now
+		m.check(p)
+	}
+}
+
+// SetRevision records the configuration that is in force on this VM and tells
+// the neighbours at once.
+func (m *Machine) SetRevision(now time.Time, revision uint64) {
+	m.observe(now)
+	if revision > m.Self.Revision {
+		m.Self.Revision = revision
+		m.version++
+		m.urgent = true
+	}
+}
+
+// Leave says that this VM takes no new work from now on.
+func (m *Machine) Leave(now time.Time) {
+	m.observe(now)
+	m.setSelf(Leaving)
+}
+
+// Finish says that this VM has finished all work and uses no share any more.
+// The messages are the last ones; send them before the process ends.
+func (m *Machine) Finish(now time.Time) []Send {
+	m.observe(now)
+	m.setSelf(Left)
+	for _, id := range m.ring() {
+		m.send(m.peers[id], m.compose(id, m.Timing.Changes))
+	}
+	sends := m.outbox
+	m.outbox = nil
+	return sends
+}
+
+func (m *Machine) setSelf(s State) {
+	if s <= m.Self.State {
+		return
+	}
+	m.digest ^= fingerprint(m.Self)
+	m.Self.State = s
+	m.digest ^= fingerprint(m.Self)
+	m.version++
+	m.urgent = true
+}
+
+// Members returns a copy of all VMs that are remembered, this one included,
+// sorted by id. Dead and left VMs stay until they are forgotten.
+func (m *Machine) Members() []Member {
+	members := make([]Member, 0, len(m.peers)+1)
+	members = append(members, m.Self)
+	for _, p := range m.peers {
+		members = append(members, p.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return members
+}
+
+// Version grows with every change that Members shows.
+func (m *Machine) Version() uint64 { return m.version }
+
+// FreshAt returns when a peer was last heard from, or the time of the latest
+// call while there is no other live VM.
+func (m *Machine) FreshAt() time.Time {
+	for _, p := range m.peers {
+		if p.State.Live() {
+			return m.evidenceAt
+		}
+	}
+	return m.now
+}
+
+// observe moves the clock on and notices that the process was paused.
+func (m *Machine) observe(now time.Time) {
+	gap := now.Sub(m.now)
+	if gap <= 0 {
+		return
+	}
+	m.now = now
+	if gap < m.Timing.Frozen {
+		return
+	}
+	clear(m.checks)
+	clear(m.relays)
+	m.synced = false
+	for _, p := range m.peers {
+		p.failedAt = time.Time{}
+		p.changedAt = p.changedAt.Add(gap)
+	}
+}
+
+// ring returns the ids of the live VMs that this one sends heartbeats to.
+func (m *Machine) ring() []string {
+	if !m.ringsChanged {
+		return m.neighbours
+	}
+	m.ringsChanged = false
+	places := make([]wqring.Place, 0, len(m.peers))
+	for _, p := range m.peers {
+		if p.State.Live() {
+			places = append(places, wqring.Place{ID: p.ID, Region: p.Region})
+		}
+	}
+	m.neighbours = m.Timing.Rings.Successors(wqring.Place{ID: m.Self.ID, Region: m.Self.Region}, places)
+	return m.neighbours
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.IsZero() || a.Before(b) {
+		return a
+	}
+	return b
+}
