--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -159,7 +159,7 @@
 		{"peers", addresses.Peer, n.peerHandler()},
 		{"admin", addresses.Admin, adminHandler(n.metrics, n.view.Load)},
 	} {
-		keys := n.keys.FrontServer()
+		keys := n.keys.CallerServer()
 		switch o.name {
 		case "peers":
 			keys = n.keys.PeerServer()
--- a/test/wqstand/serve.go
+++ b/test/wqstand/serve.go
@@ -6,14 +6,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"wisteriaquay/core/wqnote"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqdocument"
+	"wisteriaquay/io/wqstore"
 	"wisteriaquay/io/wqvmlist"
 	"wisteriaquay/test/wqliststand"
 	"wisteriaquay/test/wqsearcher"
@@ -34,6 +37,7 @@
 	Straggler      float64  `long:"straggler-factor" default:"10" description:"how many times longer a straggler takes"`
 	ConnectMillis  float64  `long:"connect-millis" default:"1" description:"time to make a connection, in milliseconds"`
 	Cold           bool     `long:"cold" description:"start the searchers cold"`
+	Preload        bool     `long:"preload" description:"put the note's topology into the store at the start"`
 	Snapshot       uint64   `long:"snapshot" default:"1" description:"newest snapshot that the searchers hold"`
 
 	ctx context.Context //nolint:containedctx // go-flags calls Execute without a context.
@@ -57,7 +61,13 @@
 	list := &wqliststand.Server{}
 	list.Set(vms)
 	searchers := s.searchers(note.Added.Searchers)
-	serveHTTP(ctx, group, s.Store, (&wqstorestand.Server{}).Handler())
+	store := (&wqstorestand.Server{}).Handler()
+	if s.Preload {
+		if err := preload(store, note); err != nil {
+			return err
+		}
+	}
+	serveHTTP(ctx, group, s.Store, store)
 	serveHTTP(ctx, group, s.VMList, list.Handler())
 	serveHTTP(ctx, group, s.Control, summary(searchers))
 	for i, a := range searchers {
@@ -120,6 +130,23 @@
 	})
 }
 
+// preload puts the topology that the note makes into the store.
+func preload(store http.Handler, note *wqnote.Note) error {
+	topology, err := wqnote.Apply(note, &wqtopology.Topology{})
+	if err != nil {
+		return err
+	}
+	value, err := wqdocument.EncodeTopology(topology)
+	if err != nil {
+		return err
+	}
+	server := httptest.NewServer(store)
+	defer server.Close()
+	c := &wqstore.Client{Address: server.URL, Timeout: time.Minute, HTTP: server.Client()}
+	_, err = c.CompareAndSwap(context.Background(), wqstore.Swap{Key: "wisteriaquay/head", Data: value})
+	return err
+}
+
 // summary serves what all searchers together have seen.
 func summary(searchers []*wqsearcher.Server) http.Handler {
 	mux := http.NewServeMux()
