--- a/test/wqstand/main.go
+++ b/test/wqstand/main.go
@@ -25,11 +25,11 @@
 	err := run(ctx, os.Args[1:])
 	stop()
 	if flags.WroteHelp(err) {
-		fmt.Fprintln(os.Stdout, err)
+		_, _ = fmt.Fprintln(os.Stdout, err)
 		return
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "wqstand: %s\n", err)
+		_, _ = fmt.Fprintf(os.Stderr, "wqstand: %s\n", err)
 		os.Exit(1)
 	}
 }
