Admit queries by fair shares and measured strain

Twice the load made every query compete for slots, so that few answers were whole. core/wqadmit decides for each service how many queries run at once, who goes next (rank, then weighted fair shares) and which are refused early because their turn would come too late; io/wqentry waits and refuses as not run.

The limit follows the time until half of the shards answered and refusals that several shards share, so that one dead or sick shard does not throttle its service.

--- a/core/wqfanout/query.go
+++ b/core/wqfanout/query.go
@@ -54,6 +54,8 @@
 	parts   int
 	moves   int
 	lost    bool // lost is true when a shard can't serve the snapshot any more.
+	began   time.Time
+	half    time.Duration
 	sent    int
 	hedges  int
 	done    bool
@@ -79,6 +81,7 @@
 func (q *Query[R, H]) Start(now time.Time, v *wqview.View) Step {
 	q.sheets = make(map[uint64]*wqanswer.Sheet, 1)
 	q.held = make(map[string]span)
+	q.began = now
 	q.begin(now, v, q.firstSnapshot(v))
 	return q.settle(now, v)
 }
@@ -150,6 +153,10 @@
 	return q.settle(now, v)
 }
 
+// Half returns how long after Start half of the shards had answered; 0 means
+// that they never did.
+func (q *Query[R, H]) Half() time.Duration { return q.half }
+
 // live reports whether results of this batch still count.
 func (q *Query[R, H]) live(id int) bool {
 	if q.done || id < 0 || id >= len(q.batches) {
--- a/core/wqfanout/result.go
+++ b/core/wqfanout/result.go
@@ -62,6 +62,9 @@
 		s.sheet = sheet
 		s.part = q.parts
 	}
+	if answered, total := sheet.Progress(); q.half == 0 && 2*answered >= total {
+		q.half = now.Sub(q.began)
+	}
 	q.settleShard(now, place, "")
 }
 
--- a/io/wqentry/entry.go
+++ b/io/wqentry/entry.go
@@ -25,7 +25,6 @@
 	"wisteriaquay/core/wqanswer"
 	"wisteriaquay/core/wqbudget"
 	"wisteriaquay/core/wqfanout"
-	"wisteriaquay/core/wqfault"
 	"wisteriaquay/core/wqhedge"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/core/wqview"
@@ -49,6 +48,7 @@
 	Hedge   func(r *wqtopology.Rule) H // Hedge returns the policy that the queries of a rule share.
 
 	classes classes[H]
+	doors   doors
 }
 
 // Quantile returns the hedge policy that a rule asks for.
@@ -66,24 +66,29 @@
 	if err := r.check(); err != nil {
 		return wqanswer.Answer{}, err
 	}
-	v := e.View()
-	rule, err := rule(v, r)
+	rule, err := rule(e.View(), r)
 	if err != nil {
 		return wqanswer.Answer{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout(r, rule))
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	if !time.Now().Before(deadline) {
-		return wqanswer.Answer{}, wqfault.New(wqfault.Expired, "no time is left", "allow more time")
+	door := e.doors.door(r.Service)
+	if err := door.enter(ctx, rule, deadline); err != nil {
+		return wqanswer.Answer{}, err
 	}
-	return e.fan(ctx, v, r, rule, deadline)
+	began := time.Now()
+	query := e.query(r, rule, deadline)
+	answer, err := e.fan(ctx, r, query)
+	door.leave(outcome(time.Since(began), query.Half(), &answer))
+	return answer, err
 }
 
-// fan runs the query's state machine.
-func (e *Entry[R, H]) fan(ctx context.Context, v *wqview.View, r *Request, rule *wqtopology.Rule, deadline time.Time) (wqanswer.Answer, error) {
-	class := e.classes.class(rule, len(v.Index.Topology.Rules), e.Hedge)
-	query := &wqfanout.Query[R, H]{
+// query returns the state machine of one query.
+func (e *Entry[R, H]) query(r *Request, rule *wqtopology.Rule, deadline time.Time) *wqfanout.Query[R, H] {
+	rules := len(e.View().Index.Topology.Rules)
+	class := e.classes.class(rule, rules, e.Hedge)
+	return &wqfanout.Query[R, H]{
 		RequestID: r.RequestID,
 		Service:   r.Service,
 		Deadline:  deadline,
@@ -95,11 +100,15 @@
 		Retry:     class.retry,
 		Random:    rand.Uint64,
 	}
-	d := newDriver(r, deadline, e.fanner, e.View)
-	d.run(ctx, query)
-	v = e.View()
-	e.classes.settled(r.Service, query.Settled(v))
-	return query.Seal(v)
+}
+
+// fan runs the state machine to its end and seals the answer.
+func (e *Entry[R, H]) fan(ctx context.Context, r *Request, q *wqfanout.Query[R, H]) (wqanswer.Answer, error) {
+	d := newDriver(r, q.Deadline, e.fanner, e.View)
+	d.run(ctx, q)
+	v := e.View()
+	e.classes.settled(r.Service, q.Settled(v))
+	return q.Seal(v)
 }
 
 func limit(r *Request) int {
--- a/io/wqentry/entry_test.go
+++ b/io/wqentry/entry_test.go
@@ -142,3 +142,24 @@
 		})
 	}
 }
+
+// At most 64 queries start before anything was measured; the others wait and
+// are refused before their deadline.
+func TestQueriesThatCannotStartAreRefusedAsNotRun(t *testing.T) {
+	release := make(chan struct{})
+	e := newTestEntry(newTestView(2), &fakeHolder{hang: func(*wqpb.SubQuery) bool { <-release; return false }})
+	errs := make(chan error)
+	for range firstQueries + 20 {
+		go func() {
+			_, err := e.Query(context.Background(), request())
+			errs <- err
+		}()
+	}
+	for range 20 {
+		must.Eq(t, wqfault.Overloaded, wqfault.KindOf(<-errs))
+	}
+	close(release)
+	for range firstQueries {
+		must.NoError(t, <-errs)
+	}
+}
