--- /dev/null
+++ b/core/wqcandidate/near_test.go
@@ -0,0 +1,48 @@
+package wqcandidate
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+)
+
+func testView() *wqview.View {
+	zones := []wqtopology.Zone{{ID: "a"}, {ID: "b"}, {ID: "c", Out: true}}
+	searcher := func(id, zone string) wqtopology.Searcher {
+		return wqtopology.Searcher{ID: id, Zone: zone, Service: "orders", Shard: "o1"}
+	}
+	searchers := []wqtopology.Searcher{searcher("out", "c"), searcher("far", "b"), searcher("near", "a")}
+	members := map[string]wqmember.Member{
+		"vm1": {ID: "vm1", Zone: "a"}, "vm2": {ID: "vm2", Zone: "b"}, "vm3": {ID: "vm3", State: wqmember.Leaving},
+	}
+	all := []wqview.Holder{{MemberID: "vm3"}, {MemberID: "vm2"}, {MemberID: "vm1"}}
+	return &wqview.View{
+		Self: members["vm1"], Members: members, Targets: map[string]wqview.Target{},
+		Index:   wqtopology.NewIndex(&wqtopology.Topology{Searchers: searchers, Zones: zones}),
+		Holders: map[string][]wqview.Holder{"out": all, "far": all, "near": all},
+	}
+}
+
+func order(v *wqview.View) []string {
+	var names []string
+	for _, c := range (NearFirst{}).Pick(v, "orders", "o1") {
+		names = append(names, c.Searcher.ID+"/"+c.Holder.ID)
+	}
+	return names
+}
+
+func TestPickPrefersNearSearchersAndOwnConnections(t *testing.T) {
+	must.Eq(t, []string{"near/vm1", "near/vm2", "far/vm1", "far/vm2"}, order(testView()))
+}
+
+func TestPickLeavesOutLeavingTargetsAndPutsDownOnesLast(t *testing.T) {
+	v := testView()
+	v.Targets["near"] = wqview.Target{Down: true}
+	must.Eq(t, []string{"far/vm1", "far/vm2", "near/vm1", "near/vm2"}, order(v))
+	v.Targets["near"] = wqview.Target{Leaving: true}
+	must.Eq(t, []string{"far/vm1", "far/vm2"}, order(v))
+}
