--- /dev/null
+++ b/io/wqresult/message.go
@@ -0,0 +1,62 @@
+// Package wqresult converts the result of a write-like request between the
+// decisions in wqticket and the message that callers and peers get. It is the
+// one place that knows both forms.
+//
+// # Usage
+//
+//	reply := wqresult.Encode(ticket, result)
+//	result := wqresult.Decode(reply)
+package wqresult
+
+import (
+	"wisteriaquay/core/wqticket"
+	"wisteriaquay/io/wqpb"
+)
+
+// Encode returns the message for the result of a ticket.
+func Encode(ticket string, r wqticket.Result) *wqpb.WriteResponse {
+	return &wqpb.WriteResponse{
+		Ticket:  ticket,
+		Outcome: encodeOutcome(r.Outcome),
+		Body:    r.Body,
+		Reason:  r.Reason,
+		Remedy:  r.Remedy,
+	}
+}
+
+// Decode returns the result that a message carries; an outcome that is not
+// known counts as Unknown.
+func Decode(m *wqpb.WriteResponse) wqticket.Result {
+	return wqticket.Result{
+		Outcome: decodeOutcome(m.GetOutcome()),
+		Body:    m.GetBody(),
+		Reason:  m.GetReason(),
+		Remedy:  m.GetRemedy(),
+	}
+}
+
+func encodeOutcome(o wqticket.Outcome) wqpb.Outcome {
+	switch o {
+	case wqticket.Pending:
+		return wqpb.Outcome_OUTCOME_PENDING
+	case wqticket.Done:
+		return wqpb.Outcome_OUTCOME_DONE
+	case wqticket.NotRun:
+		return wqpb.Outcome_OUTCOME_NOT_RUN
+	default:
+		return wqpb.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+func decodeOutcome(o wqpb.Outcome) wqticket.Outcome {
+	switch o {
+	case wqpb.Outcome_OUTCOME_PENDING:
+		return wqticket.Pending
+	case wqpb.Outcome_OUTCOME_DONE:
+		return wqticket.Done
+	case wqpb.Outcome_OUTCOME_NOT_RUN:
+		return wqticket.NotRun
+	default:
+		return wqticket.Unknown
+	}
+}
