--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -3,23 +3,25 @@
 //
 // # Usage
 //
-// One goroutine owns a Control, feeds it events and time, and publishes its
-// view:
+// One goroutine owns a Control, feeds it events and time, carries out what the
+// Output names, and publishes the view:
 //
-//	c := wqcontrol.New(wqcontrol.Settings{Self: self, MaxHolders: 3}, now)
-//	c.Handle(now, wqcontrol.TopologySeen{Topology: t})
+//	c := wqcontrol.New(wqcontrol.Settings{Self: self, MaxHolders: 3, Timing: wqmember.DefaultTiming()}, now)
+//	out := c.Handle(now, wqcontrol.HeartbeatSeen{Message: m})
+//	reply(out.Reply)
+//	out = c.Tick(now)
+//	send(out.Sends)
 //	view := c.View(now)
 //
-// The view is immutable; build a new one after each event that changed
-// something, which Handle reports.
+// A view is immutable: build a new one after each event or tick.
 package wqcontrol
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"wisteriaquay/core/wqhold"
 	"wisteriaquay/core/wqmember"
-	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/core/wqview"
 )
@@ -28,109 +30,141 @@
 type Settings struct {
 	Self       wqmember.Member
 	MaxHolders int // MaxHolders is the most VMs that hold one searcher.
+	Timing     wqmember.Timing
+	Random     *rand.Rand
 }
 
-// Control is the control state of one VM.
+// Control is the control state of one VM. Only one goroutine may use it.
 type Control struct {
-	settings Settings
-	members  map[string]wqmember.Member
+	members  wqmember.Machine
+	table    wqhold.Table
 	index    *wqtopology.Index
-	holders  map[string][]wqview.Holder
 	stopping bool
-	freshAt  time.Time
-}
-
-// Event is what a Control takes in.
-type Event interface{ event() }
-
-// MembersSeen carries the VMs of the VM list.
-type MembersSeen struct{ Members []wqmember.Member }
-
-// TopologySeen carries a configuration found in the store or at a peer.
-type TopologySeen struct{ Topology *wqtopology.Topology }
 
-// TargetSeen carries one observation of a searcher.
-type TargetSeen struct{ Report wqreport.Target }
-
-// StopAsked starts the graceful stop.
-type StopAsked struct{}
+	version uint64 // version is the member version that the caches below show.
+	known   map[string]wqmember.Member
+	holders map[string][]wqview.Holder
+	cut     bool // cut is true when the caches show this VM isolated.
+	dirty   bool // dirty is true when the holders must be computed anew.
+}
 
-func (MembersSeen) event()  {}
-func (TopologySeen) event() {}
-func (TargetSeen) event()   {}
-func (StopAsked) event()    {}
+// Output is what the owner of a Control has to do next.
+type Output struct {
+	Sends []wqmember.Send  // Sends are heartbeats to deliver.
+	Reply wqmember.Message // Reply answers a HeartbeatSeen.
+}
 
 // New returns the control state of a VM that has just started.
 func New(s Settings, now time.Time) *Control {
-	return &Control{
-		settings: s,
-		members:  map[string]wqmember.Member{s.Self.ID: s.Self},
-		index:    wqtopology.NewIndex(&wqtopology.Topology{}),
-		holders:  map[string][]wqview.Holder{},
-		freshAt:  now,
+	c := &Control{
+		members: wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
+		table:   wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
+		index:   wqtopology.NewIndex(&wqtopology.Topology{}),
+		dirty:   true,
 	}
+	c.members.Start(now)
+	return c
 }
 
-// Handle takes one event and reports whether the view may have changed.
-func (c *Control) Handle(now time.Time, e Event) bool {
+// Handle takes one event.
+func (c *Control) Handle(now time.Time, e Event) Output {
 	switch e := e.(type) {
-	case MembersSeen:
-		return c.seeMembers(now, e.Members)
+	case ListSeen:
+		c.members.Seed(now, e.List)
+	case HeartbeatSeen:
+		return Output{Reply: c.members.Receive(now, e.Message)}
+	case HeartbeatAnswered:
+		c.members.Ack(now, e.Reply)
+	case HeartbeatFailed:
+		c.members.Failed(now, e.ID)
 	case TopologySeen:
-		return c.seeTopology(now, e.Topology)
+		c.seeTopology(now, e.Topology)
 	case StopAsked:
 		c.stopping = true
-		return true
+		c.members.Leave(now)
+	case StopFinished:
+		return Output{Sends: c.members.Finish(now)}
 	}
-	return false
+	return Output{}
 }
 
-func (c *Control) seeMembers(now time.Time, members []wqmember.Member) bool {
-	c.members = map[string]wqmember.Member{c.settings.Self.ID: c.settings.Self}
-	for _, m := range members {
-		c.members[m.ID] = m
-	}
-	c.members[c.settings.Self.ID] = c.settings.Self
-	c.freshAt = now
-	c.assign()
-	return true
+// Tick does what is due by time.
+func (c *Control) Tick(now time.Time) Output {
+	return Output{Sends: c.members.Tick(now)}
 }
 
-func (c *Control) seeTopology(now time.Time, t *wqtopology.Topology) bool {
-	c.freshAt = now
-	if t.Revision <= c.index.Topology.Revision {
-		return true
+// Next returns when Tick is due at the latest.
+func (c *Control) Next() time.Time {
+	next := c.members.Next()
+	if t := c.table.Next(); !t.IsZero() && t.Before(next) {
+		return t
 	}
-	c.index = wqtopology.NewIndex(t)
-	c.assign()
-	return true
+	return next
 }
 
-func (c *Control) assign() {
-	members := make([]wqmember.Member, 0, len(c.members))
-	for _, m := range c.members {
-		members = append(members, m)
-	}
-	holders := make(map[string][]wqview.Holder, len(c.index.Topology.Searchers))
-	for i := range c.index.Topology.Searchers {
-		s := &c.index.Topology.Searchers[i]
-		holders[s.ID] = wqhold.Assign(members, s, wqhold.Limits{MaxHolders: c.settings.MaxHolders})
+func (c *Control) seeTopology(now time.Time, t *wqtopology.Topology) {
+	if t.Revision <= c.index.Topology.Revision {
+		return
 	}
-	c.holders = holders
+	c.index = wqtopology.NewIndex(t)
+	c.members.SetRevision(now, t.Revision)
+	c.dirty = true
 }
 
 // View returns the state for the traffic goroutines.
-func (c *Control) View(time.Time) *wqview.View {
-	members := make(map[string]wqmember.Member, len(c.members))
-	for id, m := range c.members {
-		members[id] = m
-	}
+func (c *Control) View(now time.Time) *wqview.View {
+	c.refresh(now)
 	return &wqview.View{
-		Self:     c.settings.Self,
+		Self:     c.members.Self,
 		Index:    c.index,
-		Members:  members,
+		Members:  c.known,
 		Holders:  c.holders,
-		FreshAt:  c.freshAt,
+		FreshAt:  c.members.FreshAt(),
 		Stopping: c.stopping,
+		Isolated: c.members.Isolated(),
+	}
+}
+
+// refresh computes members and holders anew when something they follow from has
+// changed.
+func (c *Control) refresh(now time.Time) {
+	next := c.table.Next()
+	due := !next.IsZero() && !now.Before(next)
+	if !c.dirty && !due && c.version == c.members.Version() && c.cut == c.members.Isolated() {
+		return
+	}
+	c.cut = c.members.Isolated()
+	c.version = c.members.Version()
+	c.dirty = false
+	all := c.members.Members()
+	c.known = make(map[string]wqmember.Member, len(all))
+	for _, m := range all {
+		if m.State.Live() {
+			c.known[m.ID] = m
+		}
+	}
+	c.holders = c.table.Update(now, wqhold.Input{
+		Self:     c.eligible(c.members.Self),
+		Members:  c.eligibleAll(all),
+		Index:    c.index,
+		Isolated: c.members.Isolated(),
+		NewFleet: c.members.NewFleet(),
+	})
+}
+
+// eligible returns m as one that leaves when its availability zone is out, so
+// that it holds nothing new.
+func (c *Control) eligible(m wqmember.Member) wqmember.Member {
+	if m.State < wqmember.Leaving && c.index.ZoneOut(m.Zone) {
+		m.State = wqmember.Leaving
+	}
+	return m
+}
+
+func (c *Control) eligibleAll(all []wqmember.Member) []wqmember.Member {
+	members := make([]wqmember.Member, 0, len(all))
+	for _, m := range all {
+		members = append(members, c.eligible(m))
 	}
+	return members
 }
--- /dev/null
+++ b/core/wqcontrol/event.go
@@ -0,0 +1,43 @@
+package wqcontrol
+
+import (
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqreport"
+	"wisteriaquay/core/wqtopology"
+)
+
+// Event is what a Control takes in.
+type Event interface{ event() }
+
+// ListSeen carries the VM list.
+type ListSeen struct{ List []wqmember.Listed }
+
+// HeartbeatSeen carries a peer's message, which wants a reply.
+type HeartbeatSeen struct{ Message wqmember.Message }
+
+// HeartbeatAnswered carries the reply to a heartbeat that this VM sent.
+type HeartbeatAnswered struct{ Reply wqmember.Message }
+
+// HeartbeatFailed names a VM that did not answer in time.
+type HeartbeatFailed struct{ ID string }
+
+// TopologySeen carries a configuration found in the store or at a peer.
+type TopologySeen struct{ Topology *wqtopology.Topology }
+
+// TargetSeen carries one observation of a searcher.
+type TargetSeen struct{ Report wqreport.Target }
+
+// StopAsked starts the graceful stop: no new work.
+type StopAsked struct{}
+
+// StopFinished ends it: all work is done.
+type StopFinished struct{}
+
+func (ListSeen) event()          {}
+func (HeartbeatSeen) event()     {}
+func (HeartbeatAnswered) event() {}
+func (HeartbeatFailed) event()   {}
+func (TopologySeen) event()      {}
+func (TargetSeen) event()        {}
+func (StopAsked) event()         {}
+func (StopFinished) event()      {}
--- a/io/wqloop/loop.go
+++ b/io/wqloop/loop.go
@@ -4,14 +4,13 @@
 // # Usage
 //
 //	l := wqloop.New[Message](1024)
-//	l.Period = 50 * time.Millisecond
 //	l.Handle = func(now time.Time, m Message) { ... }
-//	l.Tick = func(now time.Time) { ... }
+//	l.Settle = func(now time.Time) time.Time { ...; return next }
 //	go l.Run(ctx)
-//	l.Post(m)  // waits for room
-//	l.Offer(m) // drops m when there is no room
+//	l.Post(ctx, m) // waits for room
+//	l.Offer(m)     // drops m when there is no room
 //
-// Handle and Tick run on the loop's goroutine only, so that what they touch
+// Handle and Settle run on the loop's goroutine only, so that what they touch
 // needs no lock. They must not block.
 package wqloop
 
@@ -21,13 +20,16 @@
 	"time"
 )
 
-// Loop wakes on messages and on a timer.
+// maxBatch bounds the messages that are handled before the loop settles.
+const maxBatch = 256
+
+// Loop wakes on messages and at the time that Settle asked for.
 type Loop[M any] struct {
-	Period  time.Duration            // Period is the time between two ticks.
-	Handle  func(now time.Time, m M) // Handle takes one message.
-	Tick    func(now time.Time)      // Tick does what is due by time.
-	inbox   chan M
-	done    chan struct{}
+	Handle func(now time.Time, m M)          // Handle takes one message.
+	Settle func(now time.Time) time.Time     // Settle does what is due after messages or by time, and returns when it is due again.
+	inbox  chan M
+	done   chan struct{}
+
 	dropped atomic.Int64
 }
 
@@ -39,16 +41,30 @@
 // Run handles messages until ctx ends.
 func (l *Loop[M]) Run(ctx context.Context) {
 	defer close(l.done)
-	ticker := time.NewTicker(l.Period)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			l.Tick(now)
+		case <-timer.C:
+		case m := <-l.inbox:
+			l.Handle(time.Now(), m)
+			l.drain()
+		}
+		now := time.Now()
+		timer.Reset(l.Settle(now).Sub(now))
+	}
+}
+
+// drain handles the messages that wait already, up to a bound.
+func (l *Loop[M]) drain() {
+	for range maxBatch {
+		select {
 		case m := <-l.inbox:
 			l.Handle(time.Now(), m)
+		default:
+			return
 		}
 	}
 }
--- /dev/null
+++ b/io/wqloop/loop_test.go
@@ -0,0 +1,35 @@
+package wqloop
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestLoopHandlesThenSettles(t *testing.T) {
+	l := New[int](2)
+	var sum int
+	settled := make(chan int, 16)
+	l.Handle = func(_ time.Time, m int) { sum += m }
+	l.Settle = func(now time.Time) time.Time {
+		select {
+		case settled <- sum:
+		default:
+		}
+		return now.Add(time.Hour)
+	}
+	l.Offer(1)
+	l.Offer(2)
+	l.Offer(4)
+	must.Eq(t, int64(1), l.Dropped(), must.Sprint("the third message finds no room"))
+	ctx, cancel := context.WithCancel(t.Context())
+	go l.Run(ctx)
+	for got := 0; got != 3; {
+		got = <-settled
+	}
+	cancel()
+	<-l.Done()
+	must.False(t, l.Post(t.Context(), 8) && l.Post(t.Context(), 8) && l.Post(t.Context(), 8))
+}
--- /dev/null
+++ b/io/wqnode/control.go
@@ -0,0 +1,86 @@
+package wqnode
+
+import (
+	"context"
+	"time"
+
+	"wisteriaquay/core/wqcontrol"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/io/wqheartbeat"
+	"wisteriaquay/io/wqpb"
+)
+
+const longestSleep = 200 * time.Millisecond // longestSleep bounds the time between two views.
+
+// message is one event for the control loop; reply is set when it wants one.
+type message struct {
+	event wqcontrol.Event
+	reply chan<- wqmember.Message
+}
+
+// handle is the control loop's step for a message: it alone changes the control
+// state.
+func (n *Node) handle(now time.Time, m message) {
+	out := n.control.Handle(now, m.event)
+	n.deliver(out.Sends)
+	if m.reply != nil {
+		m.reply <- out.Reply
+	}
+}
+
+// settle does what is due, publishes the view and returns when it is due again.
+func (n *Node) settle(now time.Time) time.Time {
+	n.deliver(n.control.Tick(now).Sends)
+	n.view.Store(n.control.View(now))
+	latest := now.Add(longestSleep)
+	if next := n.control.Next(); next.Before(latest) {
+		return next
+	}
+	return latest
+}
+
+// deliver sends heartbeats, each on a goroutine of its own, which reports back
+// whether it was answered.
+func (n *Node) deliver(sends []wqmember.Send) {
+	for _, s := range sends {
+		go n.deliverOne(s)
+	}
+}
+
+func (n *Node) deliverOne(s wqmember.Send) {
+	ctx, cancel := context.WithTimeout(context.Background(), n.timing.AckTimeout)
+	defer cancel()
+	reply, err := n.pool.PeerClient(s.To.Address).Heartbeat(ctx, wqheartbeat.Encode(s.Message))
+	if err != nil {
+		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
+		return
+	}
+	decoded, err := wqheartbeat.Decode(reply)
+	if err != nil {
+		n.Log.Warn("a heartbeat's reply is malformed; check the versions of the VMs", "peer", s.To.ID, "error", err)
+		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
+		return
+	}
+	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{Reply: decoded}})
+}
+
+// receive hands a peer's heartbeat to the control loop and waits for the reply.
+func (n *Node) receive(ctx context.Context, m *wqpb.HeartbeatMessage) (*wqpb.HeartbeatMessage, error) {
+	decoded, err := wqheartbeat.Decode(m)
+	if err != nil {
+		return nil, err
+	}
+	reply := make(chan wqmember.Message, 1)
+	if !n.loop.Post(ctx, message{event: wqcontrol.HeartbeatSeen{Message: decoded}, reply: reply}) {
+		return nil, wqfault.New(wqfault.Leaving, "this VM has stopped", "take it out of the member list")
+	}
+	select {
+	case r := <-reply:
+		return wqheartbeat.Encode(r), nil
+	case <-n.loop.Done():
+		return nil, wqfault.New(wqfault.Leaving, "this VM has stopped", "take it out of the member list")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -28,11 +29,13 @@
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqcaller"
 	"wisteriaquay/io/wqdial"
+	"wisteriaquay/io/wqdispatch"
 	"wisteriaquay/io/wqentry"
 	"wisteriaquay/io/wqholder"
 	"wisteriaquay/io/wqkeys"
 	"wisteriaquay/io/wqloop"
 	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
 	"wisteriaquay/io/wqsetting"
 	"wisteriaquay/io/wqstore"
@@ -40,10 +43,7 @@
 	"wisteriaquay/io/wqvmlist"
 )
 
-const (
-	inboxSize  = 4096                  // inboxSize bounds the events that wait for the control loop.
-	tickPeriod = 50 * time.Millisecond // tickPeriod is the time between two ticks of the control loop.
-)
+const inboxSize = 4096 // inboxSize bounds the events that wait for the control loop.
 
 // Node is one VM. Set the exported fields before Run.
 type Node struct {
@@ -51,14 +51,16 @@
 	Log      *slog.Logger
 
 	view    atomic.Pointer[wqview.View]
-	loop    *wqloop.Loop[wqcontrol.Event]
+	loop    *wqloop.Loop[message]
 	control *wqcontrol.Control
+	timing  wqmember.Timing
 	metrics *wqmetric.Metrics
 	keys    *wqkeys.Keys
 	pool    *wqdial.Pool
 	store   *wqstore.Client
 	list    *wqvmlist.Client
 	holder  *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
+	gate    *wqdispatch.Gate
 	entry   *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
 }
 
@@ -96,12 +98,18 @@
 	}
 	now := time.Now()
 	n.metrics = wqmetric.New()
-	n.control = wqcontrol.New(wqcontrol.Settings{Self: n.self(now), MaxHolders: n.Settings.Limits.MaxHolders}, now)
+	n.timing = wqmember.DefaultTiming()
+	n.timing.Period = n.Settings.Limits.Heartbeat
+	n.control = wqcontrol.New(wqcontrol.Settings{
+		Self:       n.self(now),
+		MaxHolders: n.Settings.Limits.MaxHolders,
+		Timing:     n.timing,
+		Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, now)
 	n.view.Store(n.control.View(now))
-	n.loop = wqloop.New[wqcontrol.Event](inboxSize)
-	n.loop.Period = tickPeriod
+	n.loop = wqloop.New[message](inboxSize)
 	n.loop.Handle = n.handle
-	n.loop.Tick = func(time.Time) {}
+	n.loop.Settle = n.settle
 	platform := &n.Settings.Platform
 	n.store = &wqstore.Client{Address: platform.Store, Timeout: platform.StoreTimeout, HTTP: http.DefaultClient}
 	n.list = &wqvmlist.Client{Address: platform.VMList, Timeout: platform.VMListTimeout, HTTP: http.DefaultClient}
@@ -129,8 +137,10 @@
 	holder, releaseHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
 	client.Lost = holder.Suspect
 	holder.View = n.view.Load
-	holder.Report = func(r wqreport.Target) { n.loop.Offer(wqcontrol.TargetSeen{Report: r}) }
+	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
+	n.gate = wqdispatch.New(n.control.View(time.Now()).Self.Epoch, n.Settings.Limits.TicketLife)
+	n.gate.Send = holder.DispatchWrite
 	return func() {
 		releaseHolder()
 		releaseClient()
@@ -187,6 +197,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wqpbconnect.NewShardServiceHandler(n.holder))
+	mux.Handle(wqpb.PeerServicePathPrefix, wqpb.NewPeerServiceServer(&peerService{node: n}))
 	return mux
 }
 
@@ -204,10 +215,3 @@
 	run(n.readStore)
 	run(func(ctx context.Context) { n.keys.Run(ctx, nil) })
 }
-
-// handle is the control loop's step: it alone changes the control state.
-func (n *Node) handle(now time.Time, e wqcontrol.Event) {
-	if n.control.Handle(now, e) {
-		n.view.Store(n.control.View(now))
-	}
-}
--- /dev/null
+++ b/io/wqnode/peer.go
@@ -0,0 +1,49 @@
+package wqnode
+
+import (
+	"context"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/io/wqtwirp"
+)
+
+// peerService answers the unary calls of the other VMs.
+type peerService struct {
+	node *Node
+}
+
+// Heartbeat takes a peer's membership changes and returns this VM's.
+func (p *peerService) Heartbeat(ctx context.Context, m *wqpb.HeartbeatMessage) (*wqpb.HeartbeatMessage, error) {
+	r, err := p.node.receive(ctx, m)
+	return r, wqtwirp.Encode(err)
+}
+
+// Configuration returns what this VM has after a revision.
+func (p *peerService) Configuration(context.Context, *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	return nil, wqtwirp.Encode(errNotWritable)
+}
+
+// ForwardWrite runs a write-like request whose ticket this VM minted.
+func (p *peerService) ForwardWrite(context.Context, *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
+	return nil, wqtwirp.Encode(errNotWritable)
+}
+
+// ForwardOutcome tells what became of a request whose ticket this VM minted.
+func (p *peerService) ForwardOutcome(context.Context, *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
+	return nil, wqtwirp.Encode(errNotWritable)
+}
+
+// DispatchWrite sends a write-like request to a searcher that this VM holds.
+func (p *peerService) DispatchWrite(ctx context.Context, r *wqpb.DispatchWriteRequest) (*wqpb.WriteResponse, error) {
+	m, err := p.node.gate.DispatchWrite(ctx, r)
+	return m, wqtwirp.Encode(err)
+}
+
+// DispatchOutcome tells what became of a request that this VM dispatched.
+func (p *peerService) DispatchOutcome(ctx context.Context, r *wqpb.DispatchOutcomeRequest) (*wqpb.WriteResponse, error) {
+	m, err := p.node.gate.DispatchOutcome(ctx, r)
+	return m, wqtwirp.Encode(err)
+}
+
+var errNotWritable = wqfault.New(wqfault.NotReady, "this VM takes no write-like requests", "retry at another VM")
--- a/io/wqnode/platform.go
+++ b/io/wqnode/platform.go
@@ -22,11 +22,11 @@
 			n.Log.Warn("the VM list can't be read", "error", err)
 			return
 		}
-		members := make([]wqmember.Member, 0, len(vms))
+		list := make([]wqmember.Listed, 0, len(vms))
 		for _, m := range vms {
-			members = append(members, wqmember.Member{ID: m.ID, Address: m.Address, Zone: m.Zone, Region: m.Region})
+			list = append(list, wqmember.Listed(m))
 		}
-		n.loop.Post(ctx, wqcontrol.MembersSeen{Members: members})
+		n.loop.Post(ctx, message{event: wqcontrol.ListSeen{List: list}})
 	})
 }
 
@@ -46,7 +46,7 @@
 			n.Log.Error("the configuration in the store can't be read", "error", err)
 			return
 		}
-		n.loop.Post(ctx, wqcontrol.TopologySeen{Topology: t})
+		n.loop.Post(ctx, message{event: wqcontrol.TopologySeen{Topology: t}})
 	})
 }
 
--- a/io/wqnode/stop.go
+++ b/io/wqnode/stop.go
@@ -14,7 +14,7 @@
 	n.Log.Info("stopping")
 	ctx, cancel := context.WithTimeout(ctx, n.Settings.Limits.StopLimit)
 	defer cancel()
-	n.loop.Post(ctx, wqcontrol.StopAsked{})
+	n.loop.Post(ctx, message{event: wqcontrol.StopAsked{}})
 	wait(ctx, n.Settings.Limits.BalancerLag)
 	var failed error
 	for _, l := range listeners {
--- a/io/wqnode/writes.go
+++ b/io/wqnode/writes.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 
-	"wisteriaquay/core/wqfault"
 	"wisteriaquay/io/wqpb"
 )
 
 // notWritable refuses all write-like requests.
 type notWritable struct{}
 
-var errNotWritable = wqfault.New(wqfault.NotReady, "this VM takes no write-like requests", "retry at another VM")
-
 // Ticket refuses.
 func (notWritable) Ticket(context.Context, *wqpb.TicketRequest) (*wqpb.TicketResponse, error) {
 	return nil, errNotWritable
