Keep the newest release notes beside the topology

Cause: a VM that learns a new revision from the store gets the whole value; without the notes it could only pass 66 KB on to each peer. Change: core/wqhistory holds a topology with at most 16 notes of 256 changes that led to it. It is a function of the accepted notes, so any VM at a revision can bring any other up to date; the store's value is the history. EncodeTopology and DecodeTopology stay for values without notes. Conclusion: peers a few revisions behind are sent the notes alone.

--- /dev/null
+++ b/core/wqhistory/history_test.go
@@ -0,0 +1,87 @@
+package wqhistory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqhistory"
+	"wisteriaquay/core/wqnote"
+	"wisteriaquay/core/wqtopology"
+)
+
+func next(t *testing.T, h *wqhistory.History, n *wqnote.Note) *wqhistory.History {
+	t.Helper()
+	h, err := h.Next(n)
+	must.NoError(t, err)
+	return h
+}
+
+// grown returns the histories from revision 0 to the last.
+func grown(t *testing.T, last int) []*wqhistory.History {
+	t.Helper()
+	all := []*wqhistory.History{nil}
+	zone := &wqnote.Note{ID: "first", Added: wqnote.Entries{Zones: []wqtopology.Zone{{ID: "a", Region: "r"}}}}
+	all = append(all, next(t, nil, zone))
+	for i := 2; i <= last; i++ {
+		all = append(all, next(t, all[i-1], wqnote.Out(fmt.Sprintf("n%d", i), "a")))
+	}
+	return all
+}
+
+func TestEveryRevisionCatchesUpToTheSameHistory(t *testing.T) {
+	all := grown(t, 40)
+	newest := all[40]
+	for revision, h := range all {
+		u := newest.Since(uint64(revision))
+		must.Eq(t, revision == 0 || revision < 24, u.Whole != nil, must.Sprintf("revision %d", revision))
+		got, err := h.Follow(u)
+		must.NoError(t, err)
+		must.Eq(t, newest, got)
+	}
+}
+
+func TestOldAndRepeatedUpdatesChangeNothing(t *testing.T) {
+	all := grown(t, 10)
+	for _, u := range []wqhistory.Update{all[9].Since(8), all[9].Since(0), all[10].Since(10), (*wqhistory.History)(nil).Since(3)} {
+		got, err := all[10].Follow(u)
+		must.NoError(t, err)
+		must.Eq(t, all[10], got)
+	}
+}
+
+func TestNotesWithAGapAreRefused(t *testing.T) {
+	all := grown(t, 10)
+	for _, u := range []wqhistory.Update{
+		all[10].Since(8),
+		{Revision: 1, Notes: all[10].Notes},
+		{Revision: 6, Notes: []*wqnote.Note{wqnote.Out("x", "nowhere")}},
+	} {
+		got, err := all[5].Follow(u)
+		if err != nil {
+			must.Eq(t, wqfault.Broken, wqfault.KindOf(err))
+		}
+		must.Eq(t, all[5], got)
+	}
+}
+
+func TestLargeNotesAreNotKept(t *testing.T) {
+	all := grown(t, 5)
+	large := &wqnote.Note{ID: "large"}
+	for i := range 50 {
+		large.Added.Zones = append(large.Added.Zones, wqtopology.Zone{ID: fmt.Sprintf("z%d", i), Region: "r"})
+	}
+	h := next(t, all[5], large)
+	must.Len(t, 6, h.Notes)
+	huge := &wqnote.Note{ID: "huge"}
+	for i := range 300 {
+		huge.Added.Searchers = append(huge.Added.Searchers, wqtopology.Searcher{
+			ID: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.%d.%d:1", i/200, i%200), Zone: "a", Service: "v", Shard: "s", Slots: 1, Connections: 1,
+		})
+	}
+	h = next(t, h, huge)
+	must.Len(t, 0, h.Notes)
+	must.NotNil(t, h.Since(6).Whole)
+}
--- a/io/wqdocument/document_test.go
+++ b/io/wqdocument/document_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqhistory"
 	"wisteriaquay/core/wqnote"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqdocument"
@@ -82,13 +83,16 @@
 
 func TestTopologyRoundTripAtTargetSize(t *testing.T) {
 	want := sized(7100, 9)
-	value, err := wqdocument.EncodeTopology(want)
+	note, err := wqdocument.DecodeNote([]byte(noteText))
+	must.NoError(t, err)
+	history := &wqhistory.History{Topology: want, Notes: []*wqnote.Note{note, note}}
+	value, err := wqdocument.EncodeHistory(history)
 	must.NoError(t, err)
 	t.Logf("7,100 searchers in 9 zones: %d bytes compressed", len(value))
 	must.Less(t, wqdocument.MaxCompressed, len(value))
-	got, err := wqdocument.DecodeTopology(value)
+	got, err := wqdocument.DecodeHistory(value)
 	must.NoError(t, err)
-	must.Eq(t, want, got)
+	must.Eq(t, history, got)
 }
 
 func TestTopologyNearAMegabyteIsRefusedWithRemedy(t *testing.T) {
--- a/io/wqdocument/note.go
+++ b/io/wqdocument/note.go
@@ -66,6 +66,16 @@
 	if err := decode(data, MaxNote, "the release note", &d); err != nil {
 		return nil, err
 	}
+	return toNote(d), nil
+}
+
+// EncodeNote writes a release note as one line of JSON.
+func EncodeNote(n *wqnote.Note) ([]byte, error) {
+	data, err := json.Marshal(fromNote(n))
+	return data, eris.Wrap(err, "encode the release note")
+}
+
+func toNote(d noteDocument) *wqnote.Note {
 	return &wqnote.Note{
 		ID:           d.ID,
 		BaseRevision: d.BaseRevision,
@@ -79,12 +89,11 @@
 		},
 		Out:  keep(d.Out),
 		Back: keep(d.Back),
-	}, nil
+	}
 }
 
-// EncodeNote writes a release note as one line of JSON.
-func EncodeNote(n *wqnote.Note) ([]byte, error) {
-	data, err := json.Marshal(noteDocument{
+func fromNote(n *wqnote.Note) noteDocument {
+	return noteDocument{
 		ID:           n.ID,
 		BaseRevision: n.BaseRevision,
 		Added:        fromEntries(&n.Added),
@@ -97,8 +106,7 @@
 		},
 		Out:  n.Out,
 		Back: n.Back,
-	})
-	return data, eris.Wrap(err, "encode the release note")
+	}
 }
 
 func toEntries(e *entries) wqnote.Entries {
--- a/io/wqdocument/topology.go
+++ b/io/wqdocument/topology.go
@@ -7,6 +7,7 @@
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
+	"wisteriaquay/core/wqhistory"
 	"wisteriaquay/core/wqtopology"
 )
 
@@ -24,6 +25,13 @@
 	Accepted  []accepted  `json:"accepted"`
 }
 
+// historyDocument is a topology and the notes that led to it.
+type historyDocument struct {
+	topologyDocument
+
+	Notes []noteDocument `json:"notes"`
+}
+
 type zoneState struct {
 	ID     string `json:"id"`
 	Region string `json:"region"`
@@ -38,20 +46,15 @@
 	More     int      `json:"more,omitempty"`
 }
 
-// EncodeTopology writes a topology as a value for the store. One of more than
+// EncodeHistory writes a history as a value for the store. One of more than
 // MaxCompressed bytes is refused.
-func EncodeTopology(t *wqtopology.Topology) ([]byte, error) {
-	data, err := json.Marshal(topologyDocument{
-		Revision:  t.Revision,
-		NoteID:    t.NoteID,
-		Searchers: convert(t.Searchers, fromSearcher),
-		Zones:     convert(t.Zones, func(z wqtopology.Zone) zoneState { return zoneState(z) }),
-		Rules:     convert(t.Rules, fromRule),
-		Layouts:   convert(t.Layouts, fromLayout),
-		Accepted:  convert(t.Accepted, func(a wqtopology.Accepted) accepted { return accepted(a) }),
+func EncodeHistory(h *wqhistory.History) ([]byte, error) {
+	data, err := json.Marshal(historyDocument{
+		topologyDocument: fromTopology(h.Topology),
+		Notes:            convert(h.Notes, fromNote),
 	})
 	if err != nil {
-		return nil, eris.Wrap(err, "encode the topology")
+		return nil, eris.Wrap(err, "encode the configuration")
 	}
 	value, err := compress(data)
 	if err != nil {
@@ -64,8 +67,8 @@
 	return value, nil
 }
 
-// DecodeTopology reads a value that EncodeTopology wrote.
-func DecodeTopology(value []byte) (*wqtopology.Topology, error) {
+// DecodeHistory reads a value that EncodeHistory wrote.
+func DecodeHistory(value []byte) (*wqhistory.History, error) {
 	if len(value) > MaxCompressed {
 		return nil, refuse("the configuration", fmt.Sprintf("has %d bytes compressed, over %d", len(value), MaxCompressed), "publish a smaller one")
 	}
@@ -73,10 +76,44 @@
 	if err != nil {
 		return nil, err
 	}
-	d := topologyDocument{}
+	d := historyDocument{}
 	if err := decode(data, maxTopology, "the configuration", &d); err != nil {
 		return nil, err
 	}
+	notes := convert(d.Notes, toNote)
+	if uint64(len(notes)) > d.Revision {
+		return nil, refuse("the configuration", "holds more notes than revisions", "publish it again")
+	}
+	return &wqhistory.History{Topology: toTopology(&d.topologyDocument), Notes: notes}, nil
+}
+
+// EncodeTopology writes a topology without notes as a value for the store.
+func EncodeTopology(t *wqtopology.Topology) ([]byte, error) {
+	return EncodeHistory(&wqhistory.History{Topology: t})
+}
+
+// DecodeTopology reads the topology alone from a value that EncodeHistory wrote.
+func DecodeTopology(value []byte) (*wqtopology.Topology, error) {
+	h, err := DecodeHistory(value)
+	if err != nil {
+		return nil, err
+	}
+	return h.Topology, nil
+}
+
+func fromTopology(t *wqtopology.Topology) topologyDocument {
+	return topologyDocument{
+		Revision:  t.Revision,
+		NoteID:    t.NoteID,
+		Searchers: convert(t.Searchers, fromSearcher),
+		Zones:     convert(t.Zones, func(z wqtopology.Zone) zoneState { return zoneState(z) }),
+		Rules:     convert(t.Rules, fromRule),
+		Layouts:   convert(t.Layouts, fromLayout),
+		Accepted:  convert(t.Accepted, func(a wqtopology.Accepted) accepted { return accepted(a) }),
+	}
+}
+
+func toTopology(d *topologyDocument) *wqtopology.Topology {
 	return &wqtopology.Topology{
 		Revision:  d.Revision,
 		NoteID:    d.NoteID,
@@ -85,7 +122,7 @@
 		Rules:     convert(d.Rules, toRule),
 		Layouts:   convert(d.Layouts, toLayout),
 		Accepted:  convert(d.Accepted, func(a accepted) wqtopology.Accepted { return wqtopology.Accepted(a) }),
-	}, nil
+	}
 }
 
 func compress(data []byte) ([]byte, error) {
