Test the lane, the limits and the cold-start gate by properties

Cause: holders promise to stay within their shares without messages. A link whose last connection closes counts as lost, since a restart would go unnoticed then.

--- /dev/null
+++ b/core/wqlane/lane_test.go
@@ -0,0 +1,146 @@
+package wqlane_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"wisteriaquay/core/wqlane"
+	"wisteriaquay/core/wqlimit"
+	"wisteriaquay/core/wqreport"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+type lane = wqlane.Lane[int, *wqlimit.AIMD]
+
+func newLane(slots, coldSlots, batch int) *lane {
+	l := wqlane.New[int](&wqlimit.AIMD{}, 32)
+	l.SetShare(slots, coldSlots, time.Second, batch)
+	return l
+}
+
+func at(millis int) time.Time {
+	return time.Unix(1000, 0).Add(time.Duration(millis) * time.Millisecond)
+}
+
+func job(item, deadline int) wqlane.Job[int] {
+	return wqlane.Job[int]{Item: item, Deadline: at(deadline)}
+}
+
+// warmUp answers requests of 10 ms until the target is warm.
+func warmUp(t *testing.T, l *lane) {
+	t.Helper()
+	for i := range 5 {
+		must.True(t, l.Offer(at(0), job(i, 1000)))
+		send, _ := l.Next(at(0))
+		must.SliceLen(t, 1, send)
+		l.Done(at(10), wqlane.Outcome{Started: at(0), Status: wqreport.Answered, Incarnation: "a"})
+	}
+	must.False(t, l.Cold())
+}
+
+// Every job is sent or refused once, in requests within the share and the
+// batch, and never after its deadline.
+func TestLaneKeepsSharesAndJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		batch := rapid.IntRange(1, 4).Draw(t, "batch")
+		l := newLane(slots, rapid.IntRange(0, 2).Draw(t, "cold"), batch)
+		open := make(map[int]bool)
+		inFlight := 0
+		for now := range 300 {
+			if rapid.Bool().Draw(t, "offer") && l.Offer(at(now), job(now, now+rapid.IntRange(0, 60).Draw(t, "left"))) {
+				open[now] = true
+			}
+			if inFlight > 0 && rapid.IntRange(0, 2).Draw(t, "done") == 0 {
+				inFlight--
+				status := rapid.SampledFrom([]wqreport.Status{wqreport.Answered, wqreport.Answered, wqreport.Shed, wqreport.Broken}).Draw(t, "status")
+				l.Done(at(now), wqlane.Outcome{Started: at(max(now-8, 0)), Status: status, Incarnation: "a"})
+			}
+			send, refuse := l.Next(at(now))
+			must.LessEq(t, batch, len(send))
+			for _, j := range append(send, refuse...) {
+				must.True(t, open[j.Item])
+				delete(open, j.Item)
+			}
+			if len(send) > 0 {
+				inFlight++
+				must.True(t, send[0].Deadline.After(at(now)))
+			}
+			must.LessEq(t, slots, inFlight)
+			must.EqOp(t, inFlight, l.InFlight())
+			must.EqOp(t, len(open), l.Queued())
+		}
+	})
+}
+
+// A job that the queue ahead would make late is refused on arrival.
+func TestLaneRefusesEarly(t *testing.T) {
+	l := newLane(1, 1, 1)
+	warmUp(t, l)
+	accepted := 0
+	for i := range 20 {
+		if l.Offer(at(10), job(i, 60)) {
+			accepted++
+		}
+		_, _ = l.Next(at(10))
+	}
+	must.EqOp(t, 5, accepted)
+	must.False(t, l.Offer(at(10), job(20, 15)))
+}
+
+// A job that waited too long is refused before its deadline, while another
+// replica may still answer.
+func TestLaneRefusesHopelessWork(t *testing.T) {
+	l := newLane(1, 1, 1)
+	warmUp(t, l)
+	must.True(t, l.Offer(at(10), job(1, 100)))
+	must.True(t, l.Offer(at(10), job(2, 100)))
+	send, _ := l.Next(at(10))
+	must.SliceLen(t, 1, send)
+	due, queued := l.NextRefusal()
+	must.True(t, queued)
+	must.EqOp(t, at(95), due)
+	_, refuse := l.Next(due)
+	must.SliceLen(t, 1, refuse)
+}
+
+// A write-like request never shares a request with others.
+func TestLaneSendsAlone(t *testing.T) {
+	l := newLane(1, 1, 8)
+	alone := job(2, 1000)
+	alone.Alone = true
+	for _, j := range []wqlane.Job[int]{job(0, 1000), job(1, 1000), alone, job(3, 1000)} {
+		must.True(t, l.Offer(at(0), j))
+	}
+	for _, want := range []int{2, 1, 1} {
+		send, _ := l.Next(at(0))
+		must.SliceLen(t, want, send)
+		l.Done(at(1), wqlane.Outcome{Started: at(0), Status: wqreport.Answered})
+	}
+}
+
+// A lost connection closes the lane of a VM without a share of the cold start,
+// and what waits is refused at once.
+func TestLaneRefusesWhileOthersRamp(t *testing.T) {
+	l := newLane(1, 0, 1)
+	l.Hint(at(0), "a", false)
+	warm := 2000
+	must.False(t, l.Offer(at(0), job(0, 100)))
+	must.True(t, l.Offer(at(warm), job(0, warm+1000)))
+	must.True(t, l.Offer(at(warm), job(1, warm+1000)))
+	send, _ := l.Next(at(warm))
+	must.SliceLen(t, 1, send)
+	l.Done(at(warm+5), wqlane.Outcome{Started: at(warm), Status: wqreport.Broken})
+	send, refuse := l.Next(at(warm + 5))
+	must.SliceEmpty(t, send)
+	must.SliceLen(t, 1, refuse)
+}
--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -108,9 +108,15 @@
 	}
 }
 
+// release returns a connection to the share. Without any connection left, a
+// restart of the searcher would go unnoticed, so it counts as lost.
 func (l *link) release() {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.open--
+	last := l.open == 0
 	l.wake()
+	l.mu.Unlock()
+	if last {
+		l.lost()
+	}
 }
