Run write-like requests at most once over all VMs

Any VM takes a request and forwards it to the VM that minted its ticket, which sends it through a holder. A run goes on when its caller is lost, so that its outcome can be asked for. After a lost call the holder is asked until it knows; when the minting VM is gone the holders of the shard are asked for a run, which only then makes the outcome known.

Before the holder was asked a lost reply was always unknown.

--- a/core/wqcandidate/near.go
+++ b/core/wqcandidate/near.go
@@ -41,7 +41,8 @@
 )
 
 // Pick returns the candidates of a shard. Searchers that leave, searchers in
-// zones that are out, and holders that leave are not among them.
+// zones that are out, holders that leave, and holders whose start is not known yet
+// are not among them.
 func (NearFirst) Pick(v *wqview.View, service, shard string) []Candidate {
 	var all []ranked
 	for _, s := range v.Index.Replicas(service, shard) {
@@ -61,7 +62,7 @@
 func appendHolders(all []ranked, v *wqview.View, s *wqtopology.Searcher) []ranked {
 	for i, h := range v.Holders[s.ID] {
 		m, known := v.Members[h.MemberID]
-		if !known || m.State == wqmember.Leaving || m.State == wqmember.Dead {
+		if !known || m.Epoch == 0 || m.State == wqmember.Leaving || m.State == wqmember.Dead {
 			continue
 		}
 		all = append(all, ranked{Candidate{Searcher: s, Holder: m}, penalty(v, s, m) + i})
--- a/core/wqcandidate/near_test.go
+++ b/core/wqcandidate/near_test.go
@@ -17,7 +17,7 @@
 	}
 	searchers := []wqtopology.Searcher{searcher("out", "c"), searcher("far", "b"), searcher("near", "a")}
 	members := map[string]wqmember.Member{
-		"vm1": {ID: "vm1", Zone: "a"}, "vm2": {ID: "vm2", Zone: "b"}, "vm3": {ID: "vm3", State: wqmember.Leaving},
+		"vm1": {ID: "vm1", Zone: "a", Epoch: 1}, "vm2": {ID: "vm2", Zone: "b", Epoch: 1}, "vm3": {ID: "vm3", Epoch: 1, State: wqmember.Leaving},
 	}
 	all := []wqview.Holder{{MemberID: "vm3"}, {MemberID: "vm2"}, {MemberID: "vm1"}}
 	return &wqview.View{
--- /dev/null
+++ b/io/wqwrite/writer_test.go
@@ -0,0 +1,275 @@
+package wqwrite
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqcandidate"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqticket"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqdispatch"
+	"wisteriaquay/io/wqpb"
+)
+
+var (
+	errUnsent = errors.New("connection refused")
+	errLost   = errors.New("connection reset")
+)
+
+// fleet is several VMs in one process, with calls that get lost.
+type fleet struct {
+	t     *testing.T
+	view  *wqview.View
+	vms   map[string]*machine
+	mu    sync.Mutex
+	draw  *rand.Rand
+	loss  int // loss is how many calls in 100 fail, each way.
+	runs  map[string]int
+	holds func(ticket string) (*wqpb.WriteResponse, error) // holds is what a searcher does with a request.
+}
+
+type machine struct {
+	fleet  *fleet
+	writer *Writer[wqcandidate.NearFirst]
+	gate   *wqdispatch.Gate
+	dead   bool
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, vms: map[string]*machine{}, runs: map[string]int{}, draw: rand.New(rand.NewPCG(seed, 1))}
+	f.holds = func(string) (*wqpb.WriteResponse, error) {
+		return &wqpb.WriteResponse{Outcome: wqpb.Outcome_OUTCOME_DONE, Body: []byte("ok")}, nil
+	}
+	topology := &wqtopology.Topology{
+		Revision:  1,
+		Zones:     []wqtopology.Zone{{ID: "a"}},
+		Rules:     []wqtopology.Rule{{Tenant: "t", Class: "c", Service: "orders"}},
+		Searchers: []wqtopology.Searcher{{ID: "s1", Zone: "a", Service: "orders", Shard: "o1"}, {ID: "s2", Zone: "a", Service: "orders", Shard: "o1"}},
+	}
+	f.view = &wqview.View{Index: wqtopology.NewIndex(topology), Members: map[string]wqmember.Member{}, Holders: map[string][]wqview.Holder{}}
+	for i := range 3 {
+		f.add(fmt.Sprintf("vm%d", i))
+	}
+	return f
+}
+
+func (f *fleet) add(id string) {
+	member := wqmember.Member{ID: id, Address: id, Zone: "a", Epoch: 5}
+	f.view.Members[id] = member
+	for _, s := range []string{"s1", "s2"} {
+		f.view.Holders[s] = append(f.view.Holders[s], wqview.Holder{MemberID: id})
+	}
+	gate := wqdispatch.New(member.Epoch, time.Minute)
+	gate.Send = f.searcher
+	f.vms[id] = &machine{fleet: f, gate: gate, writer: &Writer[wqcandidate.NearFirst]{
+		View: func() *wqview.View { v := *f.view; v.Self = member; return &v },
+		Ledger: &wqticket.Ledger{
+			VM: id, Epoch: member.Epoch, Secret: []byte(id), Life: time.Minute, Keep: time.Minute, MaxCount: 10000, MaxBytes: 1 << 20,
+		},
+		Local:  gate,
+		Peers:  func(address string) wqpb.PeerService { return f.vms[address] },
+		Unsent: func(err error) bool { return errors.Is(err, errUnsent) },
+	}}
+}
+
+func (f *fleet) searcher(_ context.Context, r *wqpb.DispatchWriteRequest) (*wqpb.WriteResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply, err := f.holds(r.GetTicket())
+	if !wqfault.KindOf(err).NotRun() || err == nil {
+		f.runs[r.GetTicket()]++
+	}
+	return reply, err
+}
+
+func (f *fleet) chance() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.draw.IntN(100) < f.loss
+}
+
+// call loses the request, the reply, or neither.
+func call[Q, A any](ctx context.Context, m *machine, q Q, serve func(context.Context, Q) (A, error)) (A, error) {
+	var none A
+	if m.dead {
+		return none, errUnsent
+	}
+	if m.fleet.chance() {
+		return none, errLost
+	}
+	a, err := serve(ctx, q)
+	if m.fleet.chance() {
+		return none, errLost
+	}
+	return a, err
+}
+
+func (m *machine) Heartbeat(context.Context, *wqpb.HeartbeatMessage) (*wqpb.HeartbeatMessage, error) {
+	return nil, errLost
+}
+
+func (m *machine) Configuration(context.Context, *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	return nil, errLost
+}
+
+func (m *machine) ForwardWrite(ctx context.Context, r *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
+	return call(ctx, m, r, m.writer.ForwardWrite)
+}
+
+func (m *machine) ForwardOutcome(ctx context.Context, r *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
+	return call(ctx, m, r, m.writer.ForwardOutcome)
+}
+
+func (m *machine) DispatchWrite(ctx context.Context, r *wqpb.DispatchWriteRequest) (*wqpb.WriteResponse, error) {
+	return call(ctx, m, r, m.gate.DispatchWrite)
+}
+
+func (m *machine) DispatchOutcome(ctx context.Context, r *wqpb.DispatchOutcomeRequest) (*wqpb.WriteResponse, error) {
+	return call(ctx, m, r, m.gate.DispatchOutcome)
+}
+
+func (f *fleet) ticket(vm string) string {
+	reply, err := f.vms[vm].writer.Ticket(f.t.Context(), &wqpb.TicketRequest{Tenant: "t", Class: "c", Service: "orders"})
+	must.NoError(f.t, err)
+	return reply.GetTicket()
+}
+
+func (f *fleet) write(vm, ticket string) *wqpb.WriteResponse {
+	reply, err := f.vms[vm].writer.Write(f.t.Context(), request(ticket))
+	must.NoError(f.t, err)
+	return reply
+}
+
+func request(ticket string) *wqpb.WriteRequest {
+	return &wqpb.WriteRequest{Ticket: ticket, Tenant: "t", Class: "c", Service: "orders", Shard: "o1", Body: []byte("one"), TimeoutMillis: 500}
+}
+
+func TestRetryAtAnotherVMGetsTheRecordedReply(t *testing.T) {
+	f := newFleet(t, 1)
+	ticket := f.ticket("vm0")
+	for _, vm := range []string{"vm1", "vm0", "vm2"} {
+		reply := f.write(vm, ticket)
+		must.Eq(t, wqpb.Outcome_OUTCOME_DONE, reply.GetOutcome())
+		must.Eq(t, "ok", string(reply.GetBody()))
+	}
+	must.Eq(t, 1, f.runs[ticket])
+}
+
+func TestOtherContentIsAConflictThroughAnyVM(t *testing.T) {
+	f := newFleet(t, 1)
+	ticket := f.ticket("vm0")
+	f.write("vm1", ticket)
+	other := request(ticket)
+	other.Body = []byte("two")
+	for _, vm := range []string{"vm0", "vm1"} {
+		_, err := f.vms[vm].writer.Write(t.Context(), other)
+		must.Eq(t, wqfault.Conflict, wqfault.KindOf(err))
+	}
+}
+
+func TestTicketOfADeadVMIsNeverNotRun(t *testing.T) {
+	f := newFleet(t, 1)
+	unused, used := f.ticket("vm0"), f.ticket("vm0")
+	must.Eq(t, wqpb.Outcome_OUTCOME_DONE, f.write("vm1", used).GetOutcome())
+	f.vms["vm0"].dead = true
+	must.Eq(t, wqpb.Outcome_OUTCOME_UNKNOWN, f.write("vm1", unused).GetOutcome())
+	delete(f.view.Members, "vm0")
+	must.Eq(t, wqpb.Outcome_OUTCOME_UNKNOWN, f.write("vm1", unused).GetOutcome())
+	must.Eq(t, 0, f.runs[unused])
+}
+
+func TestHolderTellsTheOutcomeAfterTheMintingVMIsGone(t *testing.T) {
+	f := newFleet(t, 1)
+	f.view.Holders = map[string][]wqview.Holder{"s1": {{MemberID: "vm2"}}}
+	ticket := f.ticket("vm0")
+	f.write("vm0", ticket)
+	f.vms["vm0"].dead = true
+	reply := f.write("vm1", ticket)
+	must.Eq(t, wqpb.Outcome_OUTCOME_DONE, reply.GetOutcome())
+	must.Eq(t, "ok", string(reply.GetBody()))
+	must.Eq(t, 1, f.runs[ticket])
+}
+
+func TestSecondSearcherOnlyAfterProof(t *testing.T) {
+	f := newFleet(t, 1)
+	first := true
+	shed := wqfault.New(wqfault.Overloaded, "shed", "wait")
+	done := f.holds
+	f.holds = func(ticket string) (*wqpb.WriteResponse, error) {
+		if first {
+			first = false
+			return nil, shed
+		}
+		return done(ticket)
+	}
+	ticket := f.ticket("vm0")
+	must.Eq(t, wqpb.Outcome_OUTCOME_DONE, f.write("vm0", ticket).GetOutcome())
+	f.holds = func(string) (*wqpb.WriteResponse, error) { return nil, errLost }
+	ticket = f.ticket("vm0")
+	must.Eq(t, wqpb.Outcome_OUTCOME_UNKNOWN, f.write("vm0", ticket).GetOutcome())
+	must.Eq(t, 1, f.runs[ticket])
+	f.holds = func(string) (*wqpb.WriteResponse, error) { return nil, shed }
+	ticket = f.ticket("vm0")
+	must.Eq(t, wqpb.Outcome_OUTCOME_NOT_RUN, f.write("vm1", ticket).GetOutcome())
+	must.Eq(t, 0, f.runs[ticket])
+}
+
+func TestStoppingVMMintsNothingAndFinishesItsTickets(t *testing.T) {
+	f := newFleet(t, 1)
+	ticket := f.ticket("vm0")
+	f.view.Stopping = true
+	_, err := f.vms["vm0"].writer.Ticket(t.Context(), &wqpb.TicketRequest{Tenant: "t", Class: "c", Service: "orders"})
+	must.Eq(t, wqfault.Leaving, wqfault.KindOf(err))
+	must.Eq(t, 1, f.vms["vm0"].writer.Open(time.Now()))
+	must.Eq(t, wqpb.Outcome_OUTCOME_DONE, f.write("vm1", ticket).GetOutcome())
+	must.Eq(t, 0, f.vms["vm0"].writer.Open(time.Now()))
+}
+
+// TestLostCalls sends requests and repeats them at other VMs while one call in
+// five is lost on its way and one reply in five on its way back.
+func TestLostCalls(t *testing.T) {
+	f := newFleet(t, 7)
+	f.loss = 20
+	outcomes := map[wqpb.Outcome]int{}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for i := range 200 {
+		ticket := f.ticket(fmt.Sprintf("vm%d", i%3))
+		group.Go(func() {
+			for try := range 3 {
+				reply, err := f.vms[fmt.Sprintf("vm%d", (i+try)%3)].writer.Write(t.Context(), request(ticket))
+				test.NoError(t, err)
+				mu.Lock()
+				outcomes[reply.GetOutcome()]++
+				mu.Unlock()
+				f.mu.Lock()
+				ran := f.runs[ticket]
+				f.mu.Unlock()
+				switch reply.GetOutcome() {
+				case wqpb.Outcome_OUTCOME_DONE:
+					test.Eq(t, 1, ran)
+				case wqpb.Outcome_OUTCOME_NOT_RUN:
+					test.Eq(t, 0, ran)
+				}
+			}
+		})
+	}
+	group.Wait()
+	for ticket, n := range f.runs {
+		must.LessEq(t, 1, n, must.Sprint(ticket))
+	}
+	t.Logf("outcomes of 600 requests under 200 tickets: %v", outcomes)
+	must.Eq(t, 0, outcomes[wqpb.Outcome_OUTCOME_UNKNOWN], must.Sprint("no VM ended, so every outcome can be found out"))
+}
