--- a/core/wqlane/lane.go
+++ b/core/wqlane/lane.go
@@ -49,7 +49,8 @@
 type Outcome struct {
 	Started     time.Time
 	Status      wqreport.Status
-	Incarnation string // Incarnation is the target's own; empty when it gave no word.
+	Replied     bool   // Replied is true when the status is the target's own word.
+	Incarnation string // Incarnation is the target's own; empty when it did not name it.
 	Cold        bool   // Cold is the target's own word.
 }
 
@@ -205,11 +206,11 @@
 }
 
 func (l *Lane[T, P]) learn(now time.Time, o Outcome) {
-	switch o.Status {
-	case wqreport.Unreachable, wqreport.Broken:
-		l.gate.Suspect()
-	case wqreport.Answered, wqreport.SnapshotGone, wqreport.Shed, wqreport.Draining, wqreport.NotRun:
+	switch {
+	case o.Replied:
 		l.gate.Answered(now, o.Incarnation, o.Cold)
+	case o.Status == wqreport.Unreachable, o.Status == wqreport.Broken:
+		l.gate.Suspect()
 	}
 }
 
--- a/core/wqlane/lane_test.go
+++ b/core/wqlane/lane_test.go
@@ -42,7 +42,7 @@
 		must.True(t, l.Offer(at(0), job(i, 1000)))
 		send, _ := l.Next(at(0))
 		must.SliceLen(t, 1, send)
-		l.Done(at(10), wqlane.Outcome{Started: at(0), Status: wqreport.Answered, Incarnation: "a"})
+		l.Done(at(10), wqlane.Outcome{Started: at(0), Status: wqreport.Answered, Replied: true, Incarnation: "a"})
 	}
 	must.False(t, l.Cold())
 }
@@ -63,7 +63,7 @@
 			if inFlight > 0 && rapid.IntRange(0, 2).Draw(t, "done") == 0 {
 				inFlight--
 				status := rapid.SampledFrom([]wqreport.Status{wqreport.Answered, wqreport.Answered, wqreport.Shed, wqreport.Broken}).Draw(t, "status")
-				l.Done(at(now), wqlane.Outcome{Started: at(max(now-8, 0)), Status: status, Incarnation: "a"})
+				l.Done(at(now), wqlane.Outcome{Started: at(max(now-8, 0)), Status: status, Replied: status != wqreport.Broken, Incarnation: "a"})
 			}
 			send, refuse := l.Next(at(now))
 			must.LessEq(t, batch, len(send))
@@ -124,7 +124,7 @@
 	for _, want := range []int{2, 1, 1} {
 		send, _ := l.Next(at(0))
 		must.SliceLen(t, want, send)
-		l.Done(at(1), wqlane.Outcome{Started: at(0), Status: wqreport.Answered})
+		l.Done(at(1), wqlane.Outcome{Started: at(0), Status: wqreport.Answered, Replied: true})
 	}
 }
 
--- a/io/wqholder/dispatch.go
+++ b/io/wqholder/dispatch.go
@@ -98,11 +98,11 @@
 	return h.sendSearch(l, s, tasks)
 }
 
-// waiting returns the tasks that somebody still waits for.
+// waiting takes the tasks that somebody still waits for.
 func waiting(jobs []wqlane.Job[*task]) []*task {
 	tasks := make([]*task, 0, len(jobs))
 	for _, j := range jobs {
-		if !j.Item.gone.Load() {
+		if j.Item.take() {
 			tasks = append(tasks, j.Item)
 		}
 	}
@@ -146,3 +146,11 @@
 	newGroup(tasks, cancel)
 	return ctx, cancel
 }
+
+// report passes an observation on when it brings news or the last is old, so
+// that the control goroutine's work does not grow with the traffic.
+func (h *Holder[C, P]) report(l *lane[P], e ending, r wqreport.Target) {
+	if e.observed() && l.isNews(r) {
+		h.Report(r)
+	}
+}
--- a/io/wqholder/keep.go
+++ b/io/wqholder/keep.go
@@ -41,7 +41,8 @@
 	var probes sync.WaitGroup
 	for i := range v.Index.Topology.Searchers {
 		s := &v.Index.Topology.Searchers[i]
-		if h.check(v, s.ID, time.Now()) != wqreport.Answered {
+		status := h.check(v, s.ID, time.Now())
+		if status != wqreport.Answered && status != wqreport.Draining {
 			continue
 		}
 		places <- struct{}{}
@@ -70,7 +71,7 @@
 	}
 	l.hint(time.Now(), health.Incarnation, health.Cold)
 	if health.Draining {
-		h.Report(wqreport.Target{SearcherID: s.ID, At: time.Now(), Status: wqreport.Draining, Incarnation: health.Incarnation})
+		h.report(l, ending{replied: true}, wqreport.Target{SearcherID: s.ID, At: time.Now(), Status: wqreport.Draining, Incarnation: health.Incarnation})
 	}
 }
 
--- a/io/wqholder/lane.go
+++ b/io/wqholder/lane.go
@@ -11,6 +11,9 @@
 	"wisteriaquay/core/wqview"
 )
 
+// reportEvery spaces the reports of a searcher that bring no news.
+const reportEvery = 250 * time.Millisecond
+
 // lane shares one searcher's wqlane.Lane among goroutines.
 type lane[P wqlimit.Policy] struct {
 	mu       sync.Mutex
@@ -20,6 +23,7 @@
 	batch    int
 	timer    *time.Timer // timer wakes the lane to refuse queued tasks in time.
 	expire   func()
+	reported wqreport.Target
 	warmed   bool // warmed is true once the connections of the share were opened.
 }
 
@@ -137,3 +141,18 @@
 	defer l.mu.Unlock()
 	return l.state.Queued() == 0 && l.state.InFlight() == 0
 }
+
+// isNews reports whether r differs from the last report in more than its
+// latency, or comes long after it; then r becomes the last.
+func (l *lane[P]) isNews(r wqreport.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last := l.reported
+	recent := r.At.Sub(last.At) < reportEvery
+	last.At, last.Latency = r.At, r.Latency
+	if recent && last == r {
+		return false
+	}
+	l.reported = r
+	return true
+}
--- a/io/wqholder/search.go
+++ b/io/wqholder/search.go
@@ -17,34 +17,56 @@
 	started := time.Now()
 	reply, err := h.Client.Search(ctx, s, queries(started, tasks))
 	ended := time.Now()
-	status, sent := wqreport.Answered, true
+	e := ending{status: wqreport.Answered, replied: true, sent: true}
 	if err != nil {
-		f := wqtarget.FailureOf(err)
-		status, sent = f.Status, f.Sent
+		e = endingOf(err)
 	}
 	send, refuse = l.done(ended, wqlane.Outcome{
 		Started:     started,
-		Status:      status,
+		Status:      e.status,
+		Replied:     e.replied,
 		Incarnation: reply.Incarnation,
 		Cold:        reply.Cold,
 	})
-	h.Report(wqreport.Target{
+	h.report(l, e, wqreport.Target{
 		SearcherID:  s.ID,
 		At:          ended,
-		Status:      status,
+		Status:      e.status,
 		Latency:     ended.Sub(started),
 		Incarnation: reply.Incarnation,
 		Cold:        reply.Cold,
 		Oldest:      reply.Oldest,
 		Newest:      reply.Newest,
 	})
+	deliver(tasks, &reply, e)
+	return send, refuse
+}
+
+// ending is how a request ended.
+type ending struct {
+	status  wqreport.Status
+	replied bool // replied is true when the status is the searcher's own word.
+	sent    bool
+}
+
+// observed reports whether the ending tells something about the searcher.
+func (e ending) observed() bool {
+	return e.replied || e.status == wqreport.Unreachable || e.status == wqreport.Broken
+}
+
+func endingOf(err error) ending {
+	f := wqtarget.FailureOf(err)
+	return ending{status: f.Status, replied: f.Reply, sent: f.Sent}
+}
+
+// deliver gives each task its result.
+func deliver(tasks []*task, reply *wqtarget.Reply, e ending) {
 	for i, t := range tasks {
-		r := result{task: t, status: status, oldest: reply.Oldest, newest: reply.Newest, sent: sent}
-		if status == wqreport.Answered {
+		r := result{task: t, status: e.status, oldest: reply.Oldest, newest: reply.Newest, sent: e.sent}
+		if e.status == wqreport.Answered {
 			r.answer = &reply.Results[i]
 			r.status = r.answer.Refusal.Status()
 		}
 		t.fan.results <- r
 	}
-	return send, refuse
 }
--- a/io/wqholder/task.go
+++ b/io/wqholder/task.go
@@ -17,6 +17,7 @@
 	write    *writing
 	deadline time.Time
 	group    atomic.Pointer[group]
+	taken    atomic.Bool // taken is true once it is decided whether the task is sent.
 	gone     atomic.Bool // gone is true once nobody waits for the result.
 	dropped  atomic.Bool // dropped is true once its group was told.
 	reported bool        // reported belongs to the goroutine that collects.
@@ -32,9 +33,17 @@
 	sent   bool
 }
 
-// abandon tells the request that carries the task that nobody waits for it.
+// take decides whether the task is sent; only the first call returns true. The
+// sender calls it before sending, and who gives the task up calls it too.
+func (t *task) take() bool { return t.taken.CompareAndSwap(false, true) }
+
+// abandon gives the task up, or tells the request that carries it that nobody
+// waits for it.
 func (t *task) abandon() {
 	t.gone.Store(true)
+	if t.take() {
+		return
+	}
 	if g := t.group.Load(); g != nil {
 		g.drop(t)
 	}
--- a/io/wqholder/write.go
+++ b/io/wqholder/write.go
@@ -31,6 +31,9 @@
 	case response := <-w.done:
 		return response, nil
 	case <-ctx.Done():
+		if t.take() {
+			return refusedWrite(r, wqreport.Expired), nil
+		}
 		return response(r, wqpb.Outcome_OUTCOME_UNKNOWN, "the call ended before the searcher answered", "ask for the outcome"), nil
 	}
 }
@@ -49,15 +52,21 @@
 		RemainingMillis: remainingMillis(started, t.deadline),
 	})
 	ended := time.Now()
-	status := wqreport.Answered
+	e := ending{status: wqreport.Answered, replied: true, sent: true}
 	if err != nil {
-		status = wqtarget.FailureOf(err).Status
+		e = endingOf(err)
 	}
-	send, refuse = l.done(ended, wqlane.Outcome{Started: started, Status: status, Incarnation: reply.Incarnation, Cold: reply.Cold})
-	h.Report(wqreport.Target{
+	send, refuse = l.done(ended, wqlane.Outcome{
+		Started:     started,
+		Status:      e.status,
+		Replied:     e.replied,
+		Incarnation: reply.Incarnation,
+		Cold:        reply.Cold,
+	})
+	h.report(l, e, wqreport.Target{
 		SearcherID:  s.ID,
 		At:          ended,
-		Status:      status,
+		Status:      e.status,
 		Latency:     ended.Sub(started),
 		Incarnation: reply.Incarnation,
 		Cold:        reply.Cold,
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -125,6 +126,8 @@
 	switch {
 	case ctx.Err() != nil:
 		status = wqreport.Expired
+	case errors.Is(cause, errNoConnection):
+		status = wqreport.NotRun
 	case sent:
 		status = wqreport.Broken
 	}
--- a/io/wqtarget/failure.go
+++ b/io/wqtarget/failure.go
@@ -12,6 +12,7 @@
 type Failure struct {
 	Status wqreport.Status
 	Sent   bool // Sent is true when a byte of the request may have reached the searcher.
+	Reply  bool // Reply is true when the status is the searcher's own refusal.
 	Fault  *wqfault.Fault
 }
 
@@ -23,11 +24,7 @@
 
 // NotRun reports whether it is proved that the searcher did not run the request.
 func (f *Failure) NotRun() bool {
-	switch f.Status {
-	case wqreport.Shed, wqreport.Draining, wqreport.NotRun, wqreport.SnapshotGone:
-		return true
-	}
-	return !f.Sent
+	return f.Reply || !f.Sent
 }
 
 // FailureOf returns the first Failure in the chain of err. An error without
@@ -50,7 +47,9 @@
 }
 
 func refused(searcherID string, r Refusal) *Failure {
-	return newFailure(r.Status(), true, fmt.Sprintf("searcher %s refused with %q", searcherID, r))
+	f := newFailure(r.Status(), true, fmt.Sprintf("searcher %s refused with %q", searcherID, r))
+	f.Reply = true
+	return f
 }
 
 func explain(status wqreport.Status, sent bool) (wqfault.Kind, string) {
