Add the load program in both users' sizes

Figures of tail and coverage need a load that does not wait for answers and does not trust their labels.

A retry after a refusal for load now costs from the retry budget even when the holder refused it before sending, so that overload causes no repeats between VMs.

--- a/cmd/wisteriaquay/command.go
+++ b/cmd/wisteriaquay/command.go
@@ -38,6 +38,7 @@
 		cmdServe,
 		cmdQuery,
 		cmdWrite,
+		cmdLoad,
 		cmdVersion,
 	}
 }
--- /dev/null
+++ b/cmd/wqload/query.go
@@ -0,0 +1,120 @@
+package wqload
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"wisteriaquay/cmd/wqtally"
+	"wisteriaquay/io/wqpb"
+)
+
+// query sends one query, checks the answer and adds it to the tally.
+func (l *Load) query(ctx context.Context, q *wqpb.QueryRequest, due time.Time, t *wqtally.Tally) {
+	if !sleep(ctx, l.ClientDelay) {
+		return
+	}
+	response, err := l.client(l.balancer.next()).Query(ctx, connect.NewRequest(q))
+	sleep(ctx, l.ClientDelay)
+	took := time.Since(due)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		t.Refused(refusal(err))
+		return
+	}
+	l.answered.Add(1)
+	a := response.Msg
+	if fault := l.checker.Check(q, a); fault != "" {
+		t.Wrong(fault)
+		return
+	}
+	t.Answered(wqtally.Answer{
+		Took:    took,
+		Total:   int(a.GetShardsTotal()),
+		Covered: int(a.GetShardsAnswered()),
+		Sent:    int(a.GetSubQueriesSent()),
+		Hedges:  int(a.GetHedgesSent()),
+	})
+}
+
+// refusal returns the kind that an entry named, or what the connection says.
+func refusal(err error) string {
+	var failed *connect.Error
+	if !errors.As(err, &failed) {
+		return "connection"
+	}
+	for _, d := range failed.Details() {
+		value, err := d.Value()
+		if err != nil {
+			continue
+		}
+		if r, ok := value.(*wqpb.Refusal); ok {
+			return r.GetKind()
+		}
+	}
+	return "untyped_" + failed.Code().String()
+}
+
+// report adds up the tallies.
+func (l *Load) report(tallies []*wqtally.Tally, ran int) wqtally.Report {
+	duration := time.Duration(l.Seconds * float64(time.Second))
+	all := wqtally.NewTally("total")
+	r := wqtally.Report{Seed: l.Seed, Seconds: l.Seconds, Offered: int(l.offered.Load()), Skipped: int(l.skipped.Load())}
+	for _, t := range tallies {
+		all.Merge(t)
+		r.Streams = append(r.Streams, t.Line(duration))
+	}
+	r.Total = all.Line(duration)
+	r.ShardsRan = -1
+	if l.Counters != "" {
+		r.ShardsRan = ran
+		r.Overstated = all.Covered() > ran
+	}
+	return r
+}
+
+// ran returns how many sub-queries the stand-in searchers say that they ran.
+func (l *Load) ran(ctx context.Context) (int, error) {
+	if l.Counters == "" {
+		return 0, nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.Counters, http.NoBody)
+	if err != nil {
+		return 0, eris.Wrap(err, "ask the searchers' counters")
+	}
+	response, err := l.Client.Do(request)
+	if err != nil {
+		return 0, eris.Wrap(err, "ask the searchers' counters")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counters map[string]struct {
+		SubQueries int `json:"sub_queries"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&counters); err != nil {
+		return 0, eris.Wrap(err, "read the searchers' counters")
+	}
+	ran := 0
+	for _, c := range counters {
+		ran += c.SubQueries
+	}
+	return ran, nil
+}
+
+// progress writes a line a second until the context ends.
+func (l *Load) progress(ctx context.Context) {
+	if l.Progress == nil {
+		return
+	}
+	for sleep(ctx, progressEvery) {
+		_, _ = fmt.Fprintf(l.Progress, "\r%d offered, %d answered, %d under way, %d entries ready ",
+			l.offered.Load(), l.answered.Load(), l.underWay.Load(), l.balancer.ready())
+	}
+}
--- a/core/wqfanout/result.go
+++ b/core/wqfanout/result.go
@@ -93,13 +93,20 @@
 	if s.waiting() {
 		return
 	}
-	if sent && status != wqreport.SnapshotGone && !q.Retry.Spend(now) {
+	if q.repeats(status, sent) && !q.Retry.Spend(now) {
 		q.settleShard(now, place, s.reason)
 		return
 	}
 	q.dispatch(now, v, place)
 }
 
+// repeats reports whether another try costs from the retry budget: targets may
+// have run the last one, or refused it for load. A snapshot that is gone and a
+// sub-query that was never sent are not the load's doing.
+func (q *Query[R, H]) repeats(status wqreport.Status, sent bool) bool {
+	return status == wqreport.Shed || (sent && status != wqreport.SnapshotGone)
+}
+
 // exhausted decides what follows when no candidate is left for a shard.
 func (q *Query[R, H]) exhausted(now time.Time, v *wqview.View, place int, why wqanswer.Reason) {
 	s := &q.pass.shards[place]
