Carry out a graceful stop within its limit

The stopper enters the phases that wqdrain decides, counts work on a timer, and returns at the limit also when a phase hangs. While a VM stops, each answer ends its connection, so that a caller does not send its next request on a connection that is about to be closed.

--- /dev/null
+++ b/io/wqstop/stopper_test.go
@@ -0,0 +1,66 @@
+package wqstop
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqdrain"
+	"wisteriaquay/core/wqfault"
+)
+
+type record struct {
+	mu     sync.Mutex
+	phases []wqdrain.Phase
+}
+
+func (r *record) enter(_ context.Context, p wqdrain.Phase) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.phases = append(r.phases, p)
+}
+
+func TestRunEndsOnceTheWorkIsDone(t *testing.T) {
+	var open atomic.Int64
+	open.Store(3)
+	r := &record{}
+	s := &Stopper{
+		Drain: &wqdrain.Drain{BalancerLag: 10 * time.Millisecond, Limit: time.Minute, Reserve: time.Second},
+		Work:  func() wqdrain.Work { return wqdrain.Work{Requests: int(max(open.Add(-1), 0))} },
+		Enter: r.enter,
+	}
+	must.NoError(t, s.Run(t.Context()))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	must.SliceContainsAll(t, r.phases, []wqdrain.Phase{wqdrain.Unready, wqdrain.Finishing, wqdrain.Closing})
+}
+
+func TestRunEndsAtTheLimitWhateverHangs(t *testing.T) {
+	s := &Stopper{
+		Drain: &wqdrain.Drain{BalancerLag: time.Millisecond, Limit: 50 * time.Millisecond, Reserve: 10 * time.Millisecond},
+		Work:  func() wqdrain.Work { return wqdrain.Work{Tickets: 2} },
+		Enter: func(ctx context.Context, _ wqdrain.Phase) { <-ctx.Done() },
+	}
+	err := s.Run(t.Context())
+	must.Eq(t, wqfault.Unavailable, wqfault.KindOf(err))
+	must.ErrorContains(t, err, "2 tickets")
+}
+
+func TestLastAnswersEndTheirConnection(t *testing.T) {
+	var stopping atomic.Bool
+	s := httptest.NewServer(LastAnswers(http.NotFoundHandler(), stopping.Load))
+	defer s.Close()
+	for _, want := range []bool{false, true} {
+		stopping.Store(want)
+		reply, err := http.Get(s.URL)
+		must.NoError(t, err)
+		must.NoError(t, reply.Body.Close())
+		must.Eq(t, want, reply.Close)
+	}
+}
