Run membership, holding, writes and the graceful stop in every VM

Cause: the thin path had static members and no write-like requests. Change: the control loop owns the member machine and the holder table, peers exchange heartbeats over twirp, tickets run through the writer and the gate, SIGTERM walks through wqdrain's phases.

--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"time"
 
+	"wisteriaquay/core/wqhealth"
 	"wisteriaquay/core/wqhold"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqtopology"
@@ -32,14 +33,20 @@
 	MaxHolders int // MaxHolders is the most VMs that hold one searcher.
 	Timing     wqmember.Timing
 	Random     *rand.Rand
+	// BalancerLag is how long callers still arrive after the readiness check
+	// fails.
+	BalancerLag time.Duration
 }
 
 // Control is the control state of one VM. Only one goroutine may use it.
 type Control struct {
+	settings Settings
 	members  wqmember.Machine
 	table    wqhold.Table
+	health   *wqhealth.Machine
 	index    *wqtopology.Index
-	stopping bool
+	refusing bool      // refusing is true once a graceful stop takes no new requests.
+	outAt    time.Time // outAt is when this VM learned that its availability zone is out; zero while it is in.
 
 	version uint64 // version is the member version that the caches below show.
 	known   map[string]wqmember.Member
@@ -57,10 +64,12 @@
 // New returns the control state of a VM that has just started.
 func New(s Settings, now time.Time) *Control {
 	c := &Control{
-		members: wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
-		table:   wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
-		index:   wqtopology.NewIndex(&wqtopology.Topology{}),
-		dirty:   true,
+		settings: s,
+		health:   wqhealth.New(),
+		members:  wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
+		table:    wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
+		index:    wqtopology.NewIndex(&wqtopology.Topology{}),
+		dirty:    true,
 	}
 	c.members.Start(now)
 	return c
@@ -74,15 +83,18 @@
 	case HeartbeatSeen:
 		return Output{Reply: c.members.Receive(now, e.Message)}
 	case HeartbeatAnswered:
-		c.members.Ack(now, e.Reply)
+		c.members.Ack(now, e.ID, e.Reply)
 	case HeartbeatFailed:
 		c.members.Failed(now, e.ID)
 	case TopologySeen:
 		c.seeTopology(now, e.Topology)
-	case StopAsked:
-		c.stopping = true
+	case TargetSeen:
+		c.health.Observe(e.Report)
+	case LeaveAsked:
 		c.members.Leave(now)
-	case StopFinished:
+	case RefuseAsked:
+		c.refusing = true
+	case LeaveFinished:
 		return Output{Sends: c.members.Finish(now)}
 	}
 	return Output{}
@@ -90,6 +102,7 @@
 
 // Tick does what is due by time.
 func (c *Control) Tick(now time.Time) Output {
+	c.health.Advance(now)
 	return Output{Sends: c.members.Tick(now)}
 }
 
@@ -108,7 +121,20 @@
 	}
 	c.index = wqtopology.NewIndex(t)
 	c.members.SetRevision(now, t.Revision)
+	c.health.Keep(func(id string) bool { return c.index.Searcher(id) != nil })
 	c.dirty = true
+	switch {
+	case !c.index.ZoneOut(c.members.Self.Zone):
+		c.outAt = time.Time{}
+	case c.outAt.IsZero():
+		c.outAt = now
+	}
+}
+
+// stopping reports whether new requests are refused: late in a graceful stop,
+// or once the balancer has had the time to notice that the zone is out.
+func (c *Control) stopping(now time.Time) bool {
+	return c.refusing || !c.outAt.IsZero() && now.Sub(c.outAt) >= c.settings.BalancerLag
 }
 
 // View returns the state for the traffic goroutines.
@@ -120,7 +146,8 @@
 		Members:  c.known,
 		Holders:  c.holders,
 		FreshAt:  c.members.FreshAt(),
-		Stopping: c.stopping,
+		Targets:  c.health.States(),
+		Stopping: c.stopping(now),
 		Isolated: c.members.Isolated(),
 	}
 }
--- a/core/wqcontrol/event.go
+++ b/core/wqcontrol/event.go
@@ -15,8 +15,11 @@
 // HeartbeatSeen carries a peer's message, which wants a reply.
 type HeartbeatSeen struct{ Message wqmember.Message }
 
-// HeartbeatAnswered carries the reply to a heartbeat that this VM sent.
-type HeartbeatAnswered struct{ Reply wqmember.Message }
+// HeartbeatAnswered carries the reply to a heartbeat that this VM sent to ID.
+type HeartbeatAnswered struct {
+	ID    string
+	Reply wqmember.Message
+}
 
 // HeartbeatFailed names a VM that did not answer in time.
 type HeartbeatFailed struct{ ID string }
@@ -27,11 +30,14 @@
 // TargetSeen carries one observation of a searcher.
 type TargetSeen struct{ Report wqreport.Target }
 
-// StopAsked starts the graceful stop: no new work.
-type StopAsked struct{}
+// LeaveAsked starts the graceful stop: peers and the balancer are told.
+type LeaveAsked struct{}
 
-// StopFinished ends it: all work is done.
-type StopFinished struct{}
+// RefuseAsked ends the taking of new requests.
+type RefuseAsked struct{}
+
+// LeaveFinished ends the graceful stop: all work is done.
+type LeaveFinished struct{}
 
 func (ListSeen) event()          {}
 func (HeartbeatSeen) event()     {}
@@ -39,5 +45,6 @@
 func (HeartbeatFailed) event()   {}
 func (TopologySeen) event()      {}
 func (TargetSeen) event()        {}
-func (StopAsked) event()         {}
-func (StopFinished) event()      {}
+func (LeaveAsked) event()        {}
+func (RefuseAsked) event()       {}
+func (LeaveFinished) event()     {}
--- a/core/wqmember/fleet_test.go
+++ b/core/wqmember/fleet_test.go
@@ -191,7 +191,7 @@
 			f.at(f.now.Add(f.delay()), func() {
 				if from.life == life && !answered {
 					answered = true
-					f.do(from, func() { from.Ack(f.now, reply) })
+					f.do(from, func() { from.Ack(f.now, s.To.ID, reply) })
 				}
 			})
 		})
--- a/core/wqmember/machine.go
+++ b/core/wqmember/machine.go
@@ -111,12 +111,16 @@
 	return reply
 }
 
-// Ack handles the reply to a message.
-func (m *Machine) Ack(now time.Time, reply Message) {
+// Ack handles the reply to a message that was sent to the VM with this id.
+// When another VM answers at its address, its process is gone.
+func (m *Machine) Ack(now time.Time, id string, reply Message) {
 	m.observe(now)
 	if reply.From.ID == "" || reply.From.ID == m.Self.ID {
 		return
 	}
+	if p := m.peers[id]; p != nil && id != reply.From.ID {
+		m.worsen(p, Left)
+	}
 	m.takeIn(reply)
 	from := reply.From.ID
 	if p := m.peers[from]; p != nil {
--- a/core/wqmember/timing.go
+++ b/core/wqmember/timing.go
@@ -38,7 +38,7 @@
 		Reconnect:    3 * time.Second,
 		SyncAfter:    2 * time.Second,
 		SyncCost:     200 * time.Millisecond,
-		Forget:       10 * time.Minute,
+		Forget:       time.Hour,
 		Isolation:    3 * time.Second,
 		Frozen:       3 * time.Second,
 		Handover:     10 * time.Second,
--- a/core/wqview/view.go
+++ b/core/wqview/view.go
@@ -27,16 +27,17 @@
 	Targets   map[string]Target          // Targets holds what is known of a searcher beyond the topology, by id; absent means nothing.
 	Snapshots map[string]uint64          // Snapshots is the newest snapshot seen whole of a service, by name; absent means unknown.
 	FreshAt   time.Time                  // FreshAt is when the control state was last confirmed by a peer or the store.
-	Stopping  bool                       // Stopping is true from the first stop signal on: no new requests.
+	Stopping  bool                       // Stopping is true while new requests are refused: late in a graceful stop, or with this VM's zone out.
 	Isolated  bool                       // Isolated is true while too few peers answer to use the shares held.
 }
 
 // Holder is a VM's right to use a share of a searcher.
 type Holder struct {
 	MemberID    string
-	Slots       int // Slots is how many requests at once this VM may send.
-	Connections int // Connections is how many connections this VM may open.
-	ColdSlots   int // ColdSlots is how many requests at once this VM may send in cold start.
+	Slots       int       // Slots is how many requests at once this VM may send.
+	Connections int       // Connections is how many connections this VM may open.
+	ColdSlots   int       // ColdSlots is how many requests at once this VM may send in cold start.
+	From        time.Time // From is when the share may be used: exact for this VM's own share, a guess for others; zero means already.
 }
 
 // Target is what the control state knows of a searcher.
--- a/io/wqloop/loop.go
+++ b/io/wqloop/loop.go
@@ -25,8 +25,8 @@
 
 // Loop wakes on messages and at the time that Settle asked for.
 type Loop[M any] struct {
-	Handle func(now time.Time, m M)          // Handle takes one message.
-	Settle func(now time.Time) time.Time     // Settle does what is due after messages or by time, and returns when it is due again.
+	Handle func(now time.Time, m M)      // Handle takes one message.
+	Settle func(now time.Time) time.Time // Settle does what is due after messages or by time, and returns when it is due again.
 	inbox  chan M
 	done   chan struct{}
 
--- a/io/wqnode/admin.go
+++ b/io/wqnode/admin.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 
+	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqmetric"
 )
@@ -31,12 +32,12 @@
 	switch {
 	case v == nil || v.Index == nil || v.Index.Topology.Revision == 0:
 		return "no configuration yet; it comes from the store or from a peer"
-	case v.Stopping:
+	case v.Stopping || v.Self.State >= wqmember.Leaving:
 		return "stopping"
 	case v.Isolated:
 		return "too few peers answer; check the network of this VM"
 	case v.Index.ZoneOut(v.Self.Zone):
-		return "the availability zone of this VM is out"
+		return "the availability zone of this VM is out, or no release note names it"
 	}
 	return ""
 }
--- a/io/wqnode/control.go
+++ b/io/wqnode/control.go
@@ -44,7 +44,7 @@
 // whether it was answered.
 func (n *Node) deliver(sends []wqmember.Send) {
 	for _, s := range sends {
-		go n.deliverOne(s)
+		n.delivering.Go(func() { n.deliverOne(s) })
 	}
 }
 
@@ -62,7 +62,7 @@
 		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
 		return
 	}
-	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{Reply: decoded}})
+	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{ID: s.To.ID, Reply: decoded}})
 }
 
 // receive hands a peer's heartbeat to the control loop and waits for the reply.
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -15,11 +15,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"wisteriaquay/core/wqcandidate"
 	"wisteriaquay/core/wqcontrol"
 	"wisteriaquay/core/wqhedge"
 	"wisteriaquay/core/wqlimit"
@@ -38,9 +40,11 @@
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
 	"wisteriaquay/io/wqsetting"
+	"wisteriaquay/io/wqstop"
 	"wisteriaquay/io/wqstore"
 	"wisteriaquay/io/wqtarget"
 	"wisteriaquay/io/wqvmlist"
+	"wisteriaquay/io/wqwrite"
 )
 
 const inboxSize = 4096 // inboxSize bounds the events that wait for the control loop.
@@ -50,7 +54,12 @@
 	Settings *wqsetting.Settings
 	Log      *slog.Logger
 
-	view    atomic.Pointer[wqview.View]
+	view     atomic.Pointer[wqview.View]
+	requests atomic.Int64 // requests are callers' calls in progress.
+	sends    atomic.Int64 // sends are peers' calls in progress.
+
+	delivering sync.WaitGroup // delivering are the heartbeats on their way.
+
 	loop    *wqloop.Loop[message]
 	control *wqcontrol.Control
 	timing  wqmember.Timing
@@ -61,6 +70,7 @@
 	list    *wqvmlist.Client
 	holder  *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
 	gate    *wqdispatch.Gate
+	writer  *wqwrite.Writer[wqcandidate.NearFirst]
 	entry   *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
 }
 
@@ -97,14 +107,17 @@
 		return nil, err
 	}
 	now := time.Now()
+	self := n.self(now)
 	n.metrics = wqmetric.New()
 	n.timing = wqmember.DefaultTiming()
 	n.timing.Period = n.Settings.Limits.Heartbeat
 	n.control = wqcontrol.New(wqcontrol.Settings{
-		Self:       n.self(now),
+		Self:       self,
 		MaxHolders: n.Settings.Limits.MaxHolders,
 		Timing:     n.timing,
 		Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		BalancerLag: n.Settings.Limits.BalancerLag,
 	}, now)
 	n.view.Store(n.control.View(now))
 	n.loop = wqloop.New[message](inboxSize)
@@ -116,6 +129,7 @@
 	pool, releasePool := wqdial.New(wqdial.Settings{TLS: n.keys.PeerDial()})
 	n.pool = pool
 	releaseHolder := n.buildHolder()
+	n.buildWriter(self)
 	n.buildEntry()
 	return func() {
 		releaseHolder()
@@ -139,8 +153,6 @@
 	holder.View = n.view.Load
 	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
-	n.gate = wqdispatch.New(n.control.View(time.Now()).Self.Epoch, n.Settings.Limits.TicketLife)
-	n.gate.Send = holder.DispatchWrite
 	return func() {
 		releaseHolder()
 		releaseClient()
@@ -190,15 +202,15 @@
 
 func (n *Node) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: n.entry, Writes: notWritable{}, Metrics: n.metrics}))
-	return mux
+	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: n.entry, Writes: n.writer, Metrics: n.metrics}))
+	return wqstop.LastAnswers(counted(&n.requests, mux), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
 }
 
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wqpbconnect.NewShardServiceHandler(n.holder))
 	mux.Handle(wqpb.PeerServicePathPrefix, wqpb.NewPeerServiceServer(&peerService{node: n}))
-	return mux
+	return counted(&n.sends, mux)
 }
 
 // start runs the goroutines beside the listeners until ctx ends.
--- a/io/wqnode/peer.go
+++ b/io/wqnode/peer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"wisteriaquay/core/wqfault"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqtwirp"
 )
@@ -20,18 +19,19 @@
 }
 
 // Configuration returns what this VM has after a revision.
-func (p *peerService) Configuration(context.Context, *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
-	return nil, wqtwirp.Encode(errNotWritable)
+func (p *peerService) Configuration(_ context.Context, r *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	m, err := p.node.configuration(r)
+	return m, wqtwirp.Encode(err)
 }
 
 // ForwardWrite runs a write-like request whose ticket this VM minted.
-func (p *peerService) ForwardWrite(context.Context, *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
-	return nil, wqtwirp.Encode(errNotWritable)
+func (p *peerService) ForwardWrite(ctx context.Context, r *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
+	return p.node.writer.ForwardWrite(ctx, r)
 }
 
 // ForwardOutcome tells what became of a request whose ticket this VM minted.
-func (p *peerService) ForwardOutcome(context.Context, *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
-	return nil, wqtwirp.Encode(errNotWritable)
+func (p *peerService) ForwardOutcome(ctx context.Context, r *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
+	return p.node.writer.ForwardOutcome(ctx, r)
 }
 
 // DispatchWrite sends a write-like request to a searcher that this VM holds.
@@ -45,5 +45,3 @@
 	m, err := p.node.gate.DispatchOutcome(ctx, r)
 	return m, wqtwirp.Encode(err)
 }
-
-var errNotWritable = wqfault.New(wqfault.NotReady, "this VM takes no write-like requests", "retry at another VM")
--- a/io/wqnode/stop.go
+++ b/io/wqnode/stop.go
@@ -3,32 +3,89 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"wisteriaquay/core/wqcontrol"
+	"wisteriaquay/core/wqdrain"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/io/wqstop"
 )
 
-// stop ends the VM gracefully: unready first, then the balancer's lag, then the
-// requests in progress.
+// stopReserve is the part of the stop limit that is kept for closing
+// connections and telling peers.
+const stopReserve = time.Second
+
+// stop ends the VM gracefully, see wqdrain.
 func (n *Node) stop(ctx context.Context, listeners []*listener) error {
-	n.Log.Info("stopping")
-	ctx, cancel := context.WithTimeout(ctx, n.Settings.Limits.StopLimit)
-	defer cancel()
-	n.loop.Post(ctx, message{event: wqcontrol.StopAsked{}})
-	wait(ctx, n.Settings.Limits.BalancerLag)
+	start := time.Now()
+	n.Log.Info("stopping", "limit", n.Settings.Limits.StopLimit.String())
+	closed := make(chan error, 1)
+	s := &wqstop.Stopper{
+		Drain: &wqdrain.Drain{
+			BalancerLag: n.Settings.Limits.BalancerLag,
+			Limit:       n.Settings.Limits.StopLimit,
+			Reserve:     stopReserve,
+		},
+		Work: n.work,
+		Enter: func(ctx context.Context, p wqdrain.Phase) {
+			if err := n.enter(ctx, p, listeners); err != nil {
+				closed <- err
+			}
+		},
+	}
+	err := s.Run(ctx)
+	select {
+	case failed := <-closed:
+		err = errors.Join(err, failed)
+	default:
+	}
+	n.Log.Info("stopped", "took", time.Since(start).String(), "error", err)
+	return err
+}
+
+// work counts what a stop would cut.
+func (n *Node) work() wqdrain.Work {
+	return wqdrain.Work{
+		Requests: int(n.requests.Load()),
+		Sends:    int(n.sends.Load()) + n.gate.Active(),
+		Tickets:  n.writer.Open(time.Now()),
+	}
+}
+
+// enter does the work of one phase of the stop.
+func (n *Node) enter(ctx context.Context, p wqdrain.Phase, listeners []*listener) error {
+	switch p {
+	case wqdrain.Unready:
+		n.loop.Post(ctx, message{event: wqcontrol.LeaveAsked{}})
+	case wqdrain.Finishing:
+		n.loop.Post(ctx, message{event: wqcontrol.RefuseAsked{}})
+	case wqdrain.Closing:
+		return n.close(ctx, listeners)
+	}
+	return nil
+}
+
+// close says goodbye to the peers and ends the listeners.
+func (n *Node) close(ctx context.Context, listeners []*listener) error {
+	said := make(chan wqmember.Message, 1)
+	if n.loop.Post(ctx, message{event: wqcontrol.LeaveFinished{}, reply: said}) {
+		<-said
+		n.delivering.Wait()
+	}
 	var failed error
 	for _, l := range listeners {
 		failed = errors.Join(failed, l.stop(ctx))
 	}
-	n.Log.Info("stopped")
 	return failed
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+// counted keeps the number of calls in progress.
+func counted(calls *atomic.Int64, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		defer calls.Add(-1)
+		h.ServeHTTP(w, r)
+	})
 }
--- a/io/wqnode/writes.go
+++ b/io/wqnode/writes.go
@@ -1,25 +1,43 @@
 package wqnode
 
 import (
-	"context"
+	"crypto/rand"
 
-	"wisteriaquay/io/wqpb"
+	"wisteriaquay/core/wqcandidate"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqticket"
+	"wisteriaquay/io/wqdial"
+	"wisteriaquay/io/wqdispatch"
+	"wisteriaquay/io/wqwrite"
 )
 
-// notWritable refuses all write-like requests.
-type notWritable struct{}
-
-// Ticket refuses.
-func (notWritable) Ticket(context.Context, *wqpb.TicketRequest) (*wqpb.TicketResponse, error) {
-	return nil, errNotWritable
-}
-
-// Write refuses.
-func (notWritable) Write(context.Context, *wqpb.WriteRequest) (*wqpb.WriteResponse, error) {
-	return nil, errNotWritable
-}
+// Bounds of the tickets that one VM remembers.
+const (
+	secretBytes     = 32
+	maxTickets      = 1 << 17
+	maxTicketMemory = 16 << 20 // maxTicketMemory bounds the replies of write-like requests in memory, in bytes.
+)
 
-// Outcome refuses.
-func (notWritable) Outcome(context.Context, *wqpb.OutcomeRequest) (*wqpb.WriteResponse, error) {
-	return nil, errNotWritable
+// buildWriter makes this VM's part in write-like requests.
+func (n *Node) buildWriter(self wqmember.Member) {
+	life := n.Settings.Limits.TicketLife
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret)
+	n.gate = wqdispatch.New(self.Epoch, life)
+	n.gate.Send = n.holder.DispatchWrite
+	n.writer = &wqwrite.Writer[wqcandidate.NearFirst]{
+		View: n.view.Load,
+		Ledger: &wqticket.Ledger{
+			VM:       self.ID,
+			Epoch:    self.Epoch,
+			Secret:   secret,
+			Life:     life,
+			Keep:     life,
+			MaxCount: maxTickets,
+			MaxBytes: maxTicketMemory,
+		},
+		Local:  n.gate,
+		Peers:  n.pool.PeerClient,
+		Unsent: wqdial.Unsent,
+	}
 }
