--- a/test/wqsearcher/cold_test.go
+++ b/test/wqsearcher/cold_test.go
@@ -18,7 +18,7 @@
 )
 
 // startHolders gives VMs of one zone their shares of the fleet.
-func (f *fleet) startHolders(t *testing.T, count int) []*holder {
+func (f *fleet) startHolders(t testing.TB, count int) []*holder {
 	t.Helper()
 	members := make([]wqmember.Member, count)
 	for i := range members {
--- a/test/wqsearcher/holder_test.go
+++ b/test/wqsearcher/holder_test.go
@@ -37,7 +37,7 @@
 	topology wqtopology.Topology
 }
 
-func startFleet(t *testing.T, shards int, k wqsearcher.Knobs) *fleet {
+func startFleet(t testing.TB, shards int, k wqsearcher.Knobs) *fleet {
 	t.Helper()
 	f := &fleet{topology: wqtopology.Topology{Revision: 1, Zones: []wqtopology.Zone{{ID: "a"}, {ID: "b"}}}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,7 +77,7 @@
 
 type holder = wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
 
-func newHolder(t *testing.T, view func() *wqview.View) *holder {
+func newHolder(t testing.TB, view func() *wqview.View) *holder {
 	t.Helper()
 	client, closeClient := wqtarget.New()
 	h, closeHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
