Count every sub-query that may have reached a target

The losers of hedges were cancelled before they reported, so that answers claimed no extra load at 4% hedges. A sub-query now counts as sent unless its holder proves that it was not.

A first round over all holders is free again, further rounds after a refusal for load are paid, and holders without a slot are not asked.

--- a/core/wqfanout/query.go
+++ b/core/wqfanout/query.go
@@ -56,7 +56,7 @@
 	lost    bool // lost is true when a shard can't serve the snapshot any more.
 	began   time.Time
 	half    time.Duration
-	sent    int
+	sent    int // sent counts sub-queries but for those proven not to have reached a target.
 	hedges  int
 	done    bool
 }
--- a/core/wqfanout/result.go
+++ b/core/wqfanout/result.go
@@ -29,8 +29,8 @@
 
 // close ends a try with its result and decides what follows for the shard.
 func (q *Query[R, H]) close(now time.Time, v *wqview.View, place int, t *try, r *Result) {
-	if r.Sent {
-		q.sent++
+	if !r.Sent {
+		q.sent--
 	}
 	status := r.Status
 	if status == wqreport.Answered && !q.fits(r) {
@@ -93,20 +93,13 @@
 	if s.waiting() {
 		return
 	}
-	if q.repeats(status, sent) && !q.Retry.Spend(now) {
+	if sent && status != wqreport.SnapshotGone && !q.Retry.Spend(now) {
 		q.settleShard(now, place, s.reason)
 		return
 	}
 	q.dispatch(now, v, place)
 }
 
-// repeats reports whether another try costs from the retry budget: targets may
-// have run the last one, or refused it for load. A snapshot that is gone and a
-// sub-query that was never sent are not the load's doing.
-func (q *Query[R, H]) repeats(status wqreport.Status, sent bool) bool {
-	return status == wqreport.Shed || (sent && status != wqreport.SnapshotGone)
-}
-
 // exhausted decides what follows when no candidate is left for a shard.
 func (q *Query[R, H]) exhausted(now time.Time, v *wqview.View, place int, why wqanswer.Reason) {
 	s := &q.pass.shards[place]
@@ -118,6 +111,10 @@
 		q.lost = true
 		return
 	}
+	if s.reason == wqanswer.Shed && !q.Retry.Spend(now) {
+		q.settleShard(now, place, s.reason)
+		return
+	}
 	s.rounds++
 	pause := firstBackoff << s.rounds
 	if s.rounds >= maxRounds || now.Add(pause).After(q.Deadline) {
--- a/core/wqfanout/send.go
+++ b/core/wqfanout/send.go
@@ -63,6 +63,7 @@
 	s := &q.pass.shards[place]
 	s.tries = append(s.tries, try{batch: g.id, candidate: c, sentAt: now, open: true})
 	q.Replica.Sent(&c)
+	q.sent++
 }
 
 // group returns the batch that is being filled for a holder.
@@ -114,16 +115,24 @@
 	return ""
 }
 
-// reach adds the untried holders of a searcher to the scratch list.
+// reach adds the untried holders of a searcher to the scratch list, but for
+// those without a slot.
 func (q *Query[R, H]) reach(v *wqview.View, s *shard, r *wqtopology.Searcher, t wqview.Target) {
 	for _, h := range v.Holders[r.ID] {
 		if _, member := v.Members[h.MemberID]; !member || s.tried(r.ID, h.MemberID) {
 			continue
 		}
+		slots := h.Slots
+		if t.Cold {
+			slots = h.ColdSlots
+		}
+		if slots == 0 {
+			continue
+		}
 		q.scratch = append(q.scratch, wqreplica.Candidate{
 			SearcherID: r.ID,
 			MemberID:   h.MemberID,
-			Slots:      h.Slots,
+			Slots:      slots,
 			Near:       r.Zone == v.Self.Zone,
 			Cold:       t.Cold,
 			Latency:    t.Latency,
