--- a/core/wqcandidate/near.go
+++ b/core/wqcandidate/near.go
@@ -35,6 +35,7 @@
 // Weights of what speaks against a candidate; each outweighs all below it.
 const (
 	penaltyDown    = 1 << 20
+	penaltySuspect = 1 << 19 // penaltySuspect is for a holder that missed a heartbeat.
 	penaltyCold    = 1 << 18
 	penaltyFarZone = 1 << 16
 	penaltyRelayed = 1 << 8 // penaltyRelayed is for a holder other than this VM.
@@ -62,7 +63,7 @@
 func appendHolders(all []ranked, v *wqview.View, s *wqtopology.Searcher) []ranked {
 	for i, h := range v.Holders[s.ID] {
 		m, known := v.Members[h.MemberID]
-		if !known || m.Epoch == 0 || m.State == wqmember.Leaving || m.State == wqmember.Dead {
+		if !known || m.Epoch == 0 || m.State > wqmember.Suspect {
 			continue
 		}
 		all = append(all, ranked{Candidate{Searcher: s, Holder: m}, penalty(v, s, m) + i})
@@ -78,6 +79,9 @@
 	if v.Targets[s.ID].Cold {
 		sum += penaltyCold
 	}
+	if m.State == wqmember.Suspect {
+		sum += penaltySuspect
+	}
 	if s.Zone != v.Self.Zone {
 		sum += penaltyFarZone
 	}
--- /dev/null
+++ b/test/wqwire/wire.go
@@ -0,0 +1,106 @@
+// Package wqwire puts a fault-injecting proxy on one TCP route of a test.
+//
+// # Usage
+//
+//	w, release := wqwire.New(t, "127.0.0.1:7401")
+//	defer release()
+//	w.Cut()      // refuses connections and closes those that are open
+//	w.Swallow()  // takes bytes and delivers none, both ways
+//	w.LoseReplies(0) // delivers requests and resets once a reply comes
+//	w.Heal()
+package wqwire
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"github.com/shoenig/test/must"
+)
+
+// Wire is a proxy in front of one address.
+type Wire struct {
+	t     *testing.T
+	proxy *toxiproxy.Proxy
+	mu    sync.Mutex
+	names []string
+	down  bool
+}
+
+// New returns a wire to upstream, which need not listen yet, and the function
+// that ends it.
+func New(t *testing.T, upstream string) (*Wire, func()) {
+	t.Helper()
+	api := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	proxy := toxiproxy.NewProxy(api, upstream, "127.0.0.1:0", upstream)
+	must.NoError(t, proxy.Start())
+	return &Wire{t: t, proxy: proxy}, proxy.Stop
+}
+
+// Address returns host:port of the wire.
+func (w *Wire) Address() string {
+	w.proxy.Lock()
+	defer w.proxy.Unlock()
+	return w.proxy.Listen
+}
+
+// Cut refuses connections and closes those that are open.
+func (w *Wire) Cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.proxy.Stop()
+	w.down = true
+}
+
+// Swallow takes bytes and delivers none, both ways, until Heal.
+func (w *Wire) Swallow() {
+	w.add("timeout", "upstream", map[string]int{"timeout": 0})
+	w.add("timeout", "downstream", map[string]int{"timeout": 0})
+}
+
+// LoseReplies delivers requests and resets the connection millis after a reply
+// begins.
+func (w *Wire) LoseReplies(millis int) {
+	w.add("reset_peer", "downstream", map[string]int{"timeout": millis})
+}
+
+// Delay adds milliseconds to each way.
+func (w *Wire) Delay(millis, jitter int) {
+	w.add("latency", "upstream", map[string]int{"latency": millis, "jitter": jitter})
+	w.add("latency", "downstream", map[string]int{"latency": millis, "jitter": jitter})
+}
+
+// Heal ends all faults.
+func (w *Wire) Heal() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.names {
+		must.NoError(w.t, w.proxy.Toxics.RemoveToxic(context.Background(), n))
+	}
+	w.names = nil
+	if w.down {
+		must.NoError(w.t, w.proxy.Start())
+		w.down = false
+	}
+}
+
+func (w *Wire) add(kind, stream string, attributes map[string]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name := fmt.Sprintf("%s_%s", kind, stream)
+	body, err := json.Marshal(struct {
+		Name       string         `json:"name"`
+		Type       string         `json:"type"`
+		Stream     string         `json:"stream"`
+		Attributes map[string]int `json:"attributes"`
+	}{name, kind, stream, attributes})
+	must.NoError(w.t, err)
+	_, err = w.proxy.Toxics.AddToxicJson(strings.NewReader(string(body)))
+	must.NoError(w.t, err)
+	w.names = append(w.names, name)
+}
--- /dev/null
+++ b/test/wqwire/wire_test.go
@@ -0,0 +1,44 @@
+package wqwire_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/test/wqwire"
+)
+
+func TestFaults(t *testing.T) {
+	var served atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	defer s.Close()
+	w, release := wqwire.New(t, strings.TrimPrefix(s.URL, "http://"))
+	defer release()
+	get := func() error {
+		c := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+		reply, err := c.Get("http://" + w.Address())
+		if err == nil {
+			err = reply.Body.Close()
+		}
+		return err
+	}
+	must.NoError(t, get())
+	w.Cut()
+	must.Error(t, get())
+	w.Heal()
+	must.NoError(t, get())
+	w.Swallow()
+	must.Error(t, get())
+	must.Eq(t, 2, served.Load())
+	w.Heal()
+	w.LoseReplies(0)
+	must.Error(t, get())
+	must.Eq(t, 3, served.Load())
+	w.Heal()
+	must.NoError(t, get())
+}
