Let a VM name the address at which its peers call it

The peer listener's own address serves when it is not set. A VM behind a port mapping, or behind a fault proxy in tests, is called at another one.

--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -119,7 +119,7 @@
 	i := &n.Settings.Identity
 	epoch := uint64(now.UnixMilli())
 	return wqmember.Member{
-		ID: i.ID, Address: n.Settings.Listeners.Peer, Zone: i.Zone, Region: i.Region,
+		ID: i.ID, Address: n.Settings.Listeners.PeerAddress(), Zone: i.Zone, Region: i.Region,
 		Epoch: epoch, Incarnation: epoch,
 	}
 }
--- a/io/wqsetting/settings.go
+++ b/io/wqsetting/settings.go
@@ -31,6 +31,7 @@
 type Listeners struct {
 	Caller string `long:"caller-listen" env:"WISTERIAQUAY_CALLER_LISTEN" default:"127.0.0.1:7400" description:"address for callers and operators"`
 	Peer   string `long:"peer-listen" env:"WISTERIAQUAY_PEER_LISTEN" default:"127.0.0.1:7401" description:"address for the other VMs, reachable by them as it stands"`
+	Reach  string `long:"peer-address" env:"WISTERIAQUAY_PEER_ADDRESS" description:"address at which the other VMs call this one; the peer listener's when it is not set"`
 	Admin  string `long:"admin-listen" env:"WISTERIAQUAY_ADMIN_LISTEN" default:"127.0.0.1:7402" description:"address for /metrics, /livez and /readyz"`
 }
 
--- a/io/wqsetting/validate.go
+++ b/io/wqsetting/validate.go
@@ -59,8 +59,16 @@
 		_, err := netip.ParseAddrPort(a.value)
 		f.add(err != nil, "--%s %q is not an IP number and port: use a form like 10.0.0.7:7400", a.flag, a.value)
 	}
-	address, err := netip.ParseAddrPort(l.Peer)
-	f.add(err == nil && address.Addr().IsUnspecified(), "--peer-listen %q is no address that peers can call: use this VM's own IP number", l.Peer)
+	reach, err := netip.ParseAddrPort(l.PeerAddress())
+	f.add(err != nil || reach.Addr().IsUnspecified(), "--peer-address or else --peer-listen %q is no address that peers can call: use this VM's own IP number and port", l.PeerAddress())
+}
+
+// PeerAddress returns the address at which the other VMs call this one.
+func (l *Listeners) PeerAddress() string {
+	if l.Reach != "" {
+		return l.Reach
+	}
+	return l.Peer
 }
 
 func (p *Platform) check(f *faults) {
