--- /dev/null
+++ b/test/wqprocess/vm.go
@@ -0,0 +1,187 @@
+package wqprocess
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/io/wqpb/wqpbconnect"
+	"wisteriaquay/test/wqwire"
+)
+
+const logTail = 4096 // logTail is how much of a VM's log a failed test prints, in bytes.
+
+// VM is one process of the program.
+type VM struct {
+	ID     string
+	Zone   string
+	Caller string       // Caller is host:port of the callers' listener.
+	Admin  string       // Admin is host:port of the admin listener.
+	Wire   *wqwire.Wire // Wire is the route to its peer listener.
+
+	fleet *Fleet
+	cmd   *exec.Cmd
+	log   string
+	ended chan struct{}
+	err   error
+}
+
+var program = sync.OnceValues(func() (string, error) {
+	directory, err := os.MkdirTemp("", "wisteriaquay-test")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(directory, "wisteriaquay")
+	out, err := exec.CommandContext(context.Background(), "go", "build", "-o", path, "wisteriaquay/cmd/wisteriaquay").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build the program: %w: %s", err, out)
+	}
+	return path, nil
+})
+
+func build(t *testing.T) string {
+	t.Helper()
+	path, err := program()
+	must.NoError(t, err)
+	return path
+}
+
+// StartVM starts one more VM and puts it on the VM list.
+func (f *Fleet) StartVM() *VM {
+	f.t.Helper()
+	vm := &VM{fleet: f, ID: fmt.Sprintf("vm%d", f.started+1), Zone: Zone(f.started), ended: make(chan struct{})}
+	f.started++
+	peer := freeAddress(f.t)
+	vm.Caller, vm.Admin = freeAddress(f.t), freeAddress(f.t)
+	wire, release := wqwire.New(f.t, peer)
+	f.t.Cleanup(release)
+	vm.Wire = wire
+	vm.start(peer)
+	f.VMs = append(f.VMs, vm)
+	f.listVMs()
+	return vm
+}
+
+func (vm *VM) start(peer string) {
+	f := vm.fleet
+	vm.log = filepath.Join(f.t.TempDir(), vm.ID+".log")
+	log, err := os.Create(vm.log)
+	must.NoError(f.t, err)
+	vm.cmd = exec.CommandContext(context.Background(), f.program, "serve", "--plain-text", "--operator-token="+Token,
+		"--id="+vm.ID, "--zone="+vm.Zone, "--region=r1",
+		"--caller-listen="+vm.Caller, "--peer-listen="+peer, "--peer-address="+vm.Wire.Address(), "--admin-listen="+vm.Admin,
+		"--store=http://"+f.StoreWire.Address(), "--store-timeout=500ms", "--vm-list="+f.listURL, "--vm-list-period=200ms",
+		"--balancer-lag="+f.Options.BalancerLag.String(), "--ticket-life="+f.Options.TicketLife.String(),
+		"--stop-limit="+f.Options.StopLimit.String())
+	vm.cmd.Stdout, vm.cmd.Stderr = log, log
+	must.NoError(f.t, vm.cmd.Start())
+	go func() {
+		vm.err = vm.cmd.Wait()
+		_ = log.Close()
+		close(vm.ended)
+	}()
+	f.t.Cleanup(func() {
+		vm.Thaw()
+		vm.Kill()
+		if f.t.Failed() {
+			vm.printLog()
+		}
+	})
+}
+
+// Kill ends the VM at once.
+func (vm *VM) Kill() {
+	vm.signal(syscall.SIGKILL)
+	<-vm.ended
+	vm.fleet.listVMs()
+}
+
+// Freeze pauses the VM.
+func (vm *VM) Freeze() { vm.signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen VM go on.
+func (vm *VM) Thaw() { vm.signal(syscall.SIGCONT) }
+
+// Terminate asks the VM to stop gracefully.
+func (vm *VM) Terminate() { vm.signal(syscall.SIGTERM) }
+
+// Ended is closed when the process has ended.
+func (vm *VM) Ended() <-chan struct{} { return vm.ended }
+
+// Err returns how the process ended; call it after Ended.
+func (vm *VM) Err() error { return vm.err }
+
+// Running reports whether the process runs.
+func (vm *VM) Running() bool {
+	select {
+	case <-vm.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (vm *VM) signal(s syscall.Signal) {
+	if vm.Running() {
+		_ = vm.cmd.Process.Signal(s)
+	}
+}
+
+// Ready asks the VM's readiness check and returns why it is not ready.
+func (vm *VM) Ready() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Admin+"/readyz", http.NoBody)
+	if err != nil {
+		return err
+	}
+	reply, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	if reply.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", vm.ID, reply.StatusCode)
+	}
+	return nil
+}
+
+// WaitReady waits until the VM is ready.
+func (vm *VM) WaitReady() {
+	vm.fleet.t.Helper()
+	eventually(vm.fleet.t, readyLimit, vm.ID+" is ready", vm.Ready)
+}
+
+// Client returns a caller's client of the VM.
+func (vm *VM) Client() wqpbconnect.QueryServiceClient {
+	return wqpbconnect.NewQueryServiceClient(http.DefaultClient, "http://"+vm.Caller)
+}
+
+func (vm *VM) printLog() {
+	text, err := os.ReadFile(vm.log)
+	if err != nil {
+		return
+	}
+	tail := string(text[max(0, len(text)-logTail):])
+	vm.fleet.t.Logf("log of %s:\n%s", vm.ID, strings.TrimSpace(tail))
+}
+
+// freeAddress returns an address of loopback that nothing listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
