Serve callers for the balancer's lag after the own zone is out

Cause: a VM whose zone was taken out refused at once, while the balancer still sent it callers. The delay and its end are tested in wqcontrol.

--- /dev/null
+++ b/core/wqcontrol/control_test.go
@@ -0,0 +1,63 @@
+package wqcontrol
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqtopology"
+)
+
+const lag = 2 * time.Second
+
+func newControl(now time.Time) *Control {
+	return New(Settings{
+		Self:        wqmember.Member{ID: "vm1", Address: "127.0.0.1:1", Zone: "a", Region: "r", Epoch: 1, Incarnation: 1},
+		MaxHolders:  3,
+		Timing:      wqmember.DefaultTiming(),
+		Random:      rand.New(rand.NewPCG(1, 1)),
+		BalancerLag: lag,
+	}, now)
+}
+
+func topology(revision uint64, out bool) *wqtopology.Topology {
+	return &wqtopology.Topology{Revision: revision, Zones: []wqtopology.Zone{{ID: "a", Region: "r", Out: out}, {ID: "b", Region: "r"}}}
+}
+
+func TestOwnZoneOutRefusesAfterTheBalancersLag(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newControl(now)
+	c.Handle(now, TopologySeen{Topology: topology(1, false)})
+	must.False(t, c.View(now).Stopping)
+	c.Handle(now, TopologySeen{Topology: topology(2, true)})
+	must.False(t, c.View(now.Add(lag-1)).Stopping, must.Sprint("callers still arrive"))
+	must.True(t, c.View(now.Add(lag)).Stopping)
+	c.Handle(now, TopologySeen{Topology: topology(3, false)})
+	must.False(t, c.View(now.Add(lag)).Stopping, must.Sprint("the zone is back"))
+}
+
+func TestRevisionsNeverRevert(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newControl(now)
+	c.Handle(now, TopologySeen{Topology: topology(5, true)})
+	c.Handle(now, TopologySeen{Topology: topology(4, false)})
+	must.Eq(t, 5, c.View(now).Index.Topology.Revision)
+	must.Eq(t, 5, c.View(now).Self.Revision)
+}
+
+func TestGracefulStopTellsPeersThenRefuses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newControl(now)
+	c.Handle(now, TopologySeen{Topology: topology(1, false)})
+	c.Handle(now, LeaveAsked{})
+	v := c.View(now)
+	must.Eq(t, wqmember.Leaving, v.Self.State)
+	must.False(t, v.Stopping)
+	c.Handle(now, RefuseAsked{})
+	must.True(t, c.View(now).Stopping)
+	c.Handle(now, LeaveFinished{})
+	must.Eq(t, wqmember.Left, c.View(now).Self.State)
+}
--- a/io/wqnode/peer.go
+++ b/io/wqnode/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"wisteriaquay/core/wqfault"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqtwirp"
 )
@@ -19,9 +20,8 @@
 }
 
 // Configuration returns what this VM has after a revision.
-func (p *peerService) Configuration(_ context.Context, r *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
-	m, err := p.node.configuration(r)
-	return m, wqtwirp.Encode(err)
+func (p *peerService) Configuration(context.Context, *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	return nil, wqtwirp.Encode(wqfault.New(wqfault.NotReady, "no configuration yet", "ask another VM"))
 }
 
 // ForwardWrite runs a write-like request whose ticket this VM minted.
