Send nothing on a view that no peer has confirmed lately

Cause: a VM that was frozen, or cut off, would wake with its old view and send queued work to a zone that was taken out meanwhile. Change: a view's freshness counts from when a peer was asked that answered, and stops while a peer is known to have a higher revision. The holder sends nothing on a view older than 2.5 s, under the 3 s of the promise.

--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -40,13 +40,14 @@
 
 // Control is the control state of one VM. Only one goroutine may use it.
 type Control struct {
-	settings Settings
-	members  wqmember.Machine
-	table    wqhold.Table
-	health   *wqhealth.Machine
-	index    *wqtopology.Index
-	refusing bool      // refusing is true once a graceful stop takes no new requests.
-	outAt    time.Time // outAt is when this VM learned that its availability zone is out; zero while it is in.
+	settings  Settings
+	members   wqmember.Machine
+	table     wqhold.Table
+	health    *wqhealth.Machine
+	index     *wqtopology.Index
+	refusing  bool // refusing is true once a graceful stop takes no new requests.
+	freshness freshness
+	outAt     time.Time // outAt is when this VM learned that its availability zone is out; zero while it is in.
 
 	version uint64 // version is the member version that the caches below show.
 	known   map[string]wqmember.Member
@@ -84,6 +85,7 @@
 		return Output{Reply: c.members.Receive(now, e.Message)}
 	case HeartbeatAnswered:
 		c.members.Ack(now, e.ID, e.Reply)
+		c.freshness.Confirm(e.SentAt)
 	case HeartbeatFailed:
 		c.members.Failed(now, e.ID)
 	case TopologySeen:
@@ -145,13 +147,27 @@
 		Index:    c.index,
 		Members:  c.known,
 		Holders:  c.holders,
-		FreshAt:  c.members.FreshAt(),
+		FreshAt:  c.freshness.At(now, c.alone(), c.behind()),
 		Targets:  c.health.States(),
 		Stopping: c.stopping(now),
 		Isolated: c.members.Isolated(),
 	}
 }
 
+// alone reports whether no other VM is known to live, so that nobody can know
+// anything newer but the store.
+func (c *Control) alone() bool { return len(c.known) <= 1 }
+
+// behind reports whether a peer has a higher revision in force.
+func (c *Control) behind() bool {
+	for _, m := range c.known {
+		if m.Revision > c.index.Topology.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh computes members and holders anew when something they follow from has
 // changed.
 func (c *Control) refresh(now time.Time) {
--- a/core/wqcontrol/control_test.go
+++ b/core/wqcontrol/control_test.go
@@ -61,3 +61,23 @@
 	c.Handle(now, LeaveFinished{})
 	must.Eq(t, wqmember.Left, c.View(now).Self.State)
 }
+
+func TestFreshnessCountsFromTheQuestion(t *testing.T) {
+	asked := time.Unix(1000, 0)
+	woken := asked.Add(10 * time.Second)
+	f := &freshness{}
+	f.Confirm(asked)
+	must.Eq(t, asked, f.At(woken, false, false), must.Sprint("the answer may have waited for a paused process"))
+	f.Confirm(woken)
+	must.Eq(t, woken, f.At(woken, false, false))
+}
+
+func TestFreshnessStopsWhileAPeerHasAHigherRevision(t *testing.T) {
+	heard := time.Unix(1000, 0)
+	f := &freshness{}
+	f.Confirm(heard)
+	must.Eq(t, heard, f.At(heard, false, true))
+	f.Confirm(heard.Add(time.Minute))
+	must.Eq(t, heard, f.At(heard.Add(time.Minute), false, true))
+	must.Eq(t, heard.Add(time.Minute), f.At(heard.Add(time.Minute), false, false))
+}
--- a/core/wqcontrol/event.go
+++ b/core/wqcontrol/event.go
@@ -1,6 +1,8 @@
 package wqcontrol
 
 import (
+	"time"
+
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqtopology"
@@ -17,8 +19,9 @@
 
 // HeartbeatAnswered carries the reply to a heartbeat that this VM sent to ID.
 type HeartbeatAnswered struct {
-	ID    string
-	Reply wqmember.Message
+	ID     string
+	SentAt time.Time // SentAt is when the heartbeat was sent: the reply is no older.
+	Reply  wqmember.Message
 }
 
 // HeartbeatFailed names a VM that did not answer in time.
--- a/io/wqnode/control.go
+++ b/io/wqnode/control.go
@@ -51,6 +51,7 @@
 func (n *Node) deliverOne(s wqmember.Send) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.timing.AckTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	reply, err := n.pool.PeerClient(s.To.Address).Heartbeat(ctx, wqheartbeat.Encode(s.Message))
 	if err != nil {
 		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
@@ -62,7 +63,7 @@
 		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
 		return
 	}
-	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{ID: s.To.ID, Reply: decoded}})
+	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{ID: s.To.ID, SentAt: sentAt, Reply: decoded}})
 }
 
 // receive hands a peer's heartbeat to the control loop and waits for the reply.
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -47,7 +47,10 @@
 	"wisteriaquay/io/wqwrite"
 )
 
-const inboxSize = 4096 // inboxSize bounds the events that wait for the control loop.
+const (
+	inboxSize = 4096                    // inboxSize bounds the events that wait for the control loop.
+	freshFor  = 2500 * time.Millisecond // freshFor is the age of a view above which this VM sends nothing to searchers.
+)
 
 // Node is one VM. Set the exported fields before Run.
 type Node struct {
@@ -151,6 +154,7 @@
 	holder, releaseHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
 	client.Lost = holder.Suspect
 	holder.View = n.view.Load
+	holder.FreshFor = freshFor
 	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
 	return func() {
