Spread the configuration by peers, with a few watchers of the store

Cause: every VM must have an accepted note in force within 7 s, also when the store dies right after accepting, and none may ever go back. Change: core/wqconfig adopts higher revisions only, fetches notes from the VM that announced them, falls back to other peers and then to the store; two VMs of each zone watch.

--- /dev/null
+++ b/core/wqconfig/example_test.go
@@ -0,0 +1,30 @@
+package wqconfig_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqmember"
+)
+
+func ExampleMachine() {
+	m := &wqconfig.Machine[wqconfig.PerZone]{
+		Self:   wqmember.Member{ID: "vm2", Zone: "a"},
+		Policy: wqconfig.PerZone{Count: 2},
+		Timing: wqconfig.DefaultTiming(),
+		Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	m.Start(start)
+	m.SetMembers(start, []wqmember.Member{{ID: "vm1", Zone: "a", Revision: 1}})
+	for _, a := range m.Tick(start) {
+		fmt.Printf("%T\n", a)
+	}
+	m.Fetched(start, "vm1", histories(1)[1].Since(0))
+	for _, a := range m.Tick(start) {
+		fmt.Printf("%T %+v\n", a, a)
+	}
+	// Output:
+	// wqconfig.Fetch
+	// wqconfig.Announce {Revision:1}
+}
--- /dev/null
+++ b/core/wqconfig/machine_test.go
@@ -0,0 +1,188 @@
+package wqconfig_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqhistory"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqnote"
+	"wisteriaquay/core/wqtopology"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // A seed on the command line overrides this one.
+	os.Exit(m.Run())
+}
+
+type machine = wqconfig.Machine[wqconfig.PerZone]
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// histories returns the histories of revisions 0 to last.
+func histories(last int) []*wqhistory.History {
+	all := []*wqhistory.History{nil}
+	note := &wqnote.Note{ID: "first", Added: wqnote.Entries{Zones: []wqtopology.Zone{{ID: "a", Region: "r"}}}}
+	for i := 1; i <= last; i++ {
+		h, err := all[i-1].Next(note)
+		if err != nil {
+			panic(err)
+		}
+		all = append(all, h)
+		note = wqnote.Out(fmt.Sprintf("n%d", i), "a")
+	}
+	return all
+}
+
+func member(id string, revision uint64) wqmember.Member {
+	return wqmember.Member{ID: id, Zone: "a", Revision: revision}
+}
+
+func newMachine(id string, members ...wqmember.Member) *machine {
+	m := &machine{
+		Self: member(id, 0), Policy: wqconfig.PerZone{Count: 2}, Timing: wqconfig.DefaultTiming(),
+		Random: rand.New(rand.NewPCG(1, 2)),
+	}
+	m.Start(start)
+	m.SetMembers(start, members)
+	return m
+}
+
+func TestBootDuringOutageWaitsForWitnesses(t *testing.T) {
+	all := histories(9)
+	m := newMachine("new", member("one", 8), member("two", 9), member("three", 9))
+	actions := m.Tick(start)
+	must.Eq(t, []wqconfig.Action{
+		wqconfig.Fetch{Peer: member("two", 9)}, wqconfig.Fetch{Peer: member("three", 9)},
+	}, sortFetches(actions))
+	m.Fetched(start, "three", all[9].Since(0))
+	must.SliceEmpty(t, withoutFetches(m.Tick(start)))
+	must.Nil(t, m.History(), must.Sprint("one witness is not enough"))
+	m.FetchFailed(start, "two")
+	m.Fetched(start, "one", all[8].Since(0))
+	must.SliceContains(t, m.Tick(start), wqconfig.Action(wqconfig.Announce{Revision: 9}))
+	must.Eq(t, 9, m.History().Revision())
+}
+
+func TestBootNeverAdoptsLessThanALivePeerReports(t *testing.T) {
+	all := histories(9)
+	m := newMachine("new", member("one", 7), member("two", 7), member("ahead", 9))
+	m.Tick(start)
+	m.Fetched(start, "one", all[7].Since(0))
+	m.Fetched(start, "two", all[7].Since(0))
+	m.FetchFailed(start, "ahead")
+	m.Tick(start)
+	must.Nil(t, m.History())
+	ahead := member("ahead", 9)
+	ahead.State = wqmember.Dead
+	m.SetMembers(start, []wqmember.Member{member("one", 7), member("two", 7), ahead})
+	m.Tick(start)
+	must.Eq(t, 7, m.History().Revision(), must.Sprint("no live VM has revision 9"))
+}
+
+func TestBootAloneAdoptsOnlyWhatTheStoreProves(t *testing.T) {
+	all := histories(5)
+	m := newMachine("new")
+	must.SliceEmpty(t, m.Tick(start))
+	now := start.Add(time.Second)
+	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{Confirm: true}}, m.Tick(now))
+	m.StoreFailed(now)
+	must.False(t, m.StoreReachable())
+	now = now.Add(time.Second)
+	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{Confirm: true}}, m.Tick(now))
+	m.StoreAnswered(now, wqconfig.StoreValue{History: all[5], Revision: 20})
+	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 5}}, m.Tick(now))
+}
+
+func TestStaleStoreAnswersChangeNothing(t *testing.T) {
+	all := histories(5)
+	m := newMachine("vm")
+	m.Accepted(start, all[5], 50)
+	now := start.Add(time.Second)
+	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 5}, wqconfig.ReadStore{}}, m.Tick(now))
+	m.StoreAnswered(now, wqconfig.StoreValue{History: all[3], Revision: 30})
+	must.SliceEmpty(t, m.Tick(now))
+	must.Eq(t, 5, m.History().Revision())
+	now = now.Add(time.Second)
+	must.Eq(t, []wqconfig.Action{wqconfig.WatchStore{After: 50, Wait: m.Timing.WatchWait}}, m.Tick(now))
+}
+
+func TestWatchThatMissesChangesIsCoveredByReads(t *testing.T) {
+	all := histories(5)
+	m := newMachine("vm")
+	m.Accepted(start, all[4], 50)
+	now := start
+	reads, watches := 0, 0
+	for now.Before(start.Add(30 * time.Second)) {
+		for _, a := range m.Tick(now) {
+			switch a.(type) {
+			case wqconfig.ReadStore:
+				reads++
+				m.StoreAnswered(now, wqconfig.StoreValue{History: all[4], Revision: 50, Bytes: 2048})
+			case wqconfig.WatchStore:
+				watches++
+				now = now.Add(m.Timing.WatchWait)
+				m.StoreAnswered(now, wqconfig.StoreValue{})
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	must.Between(t, 4, reads, 12)
+	must.Between(t, 6, watches, 12)
+}
+
+func TestHigherRevisionIsFetchedFromAnotherPeerThenFromTheStore(t *testing.T) {
+	all := histories(6)
+	m := newMachine("zz", member("one", 5), member("two", 5), member("three", 5))
+	m.Accepted(start, all[5], 1)
+	m.Tick(start)
+	m.Heard(start, "one", 6)
+	must.Eq(t, []wqconfig.Action{wqconfig.Fetch{Peer: member("one", 6), Revision: 5}}, m.Tick(start))
+	m.FetchFailed(start, "one")
+	m.Heard(start, "two", 6)
+	must.Eq(t, []wqconfig.Action{wqconfig.Fetch{Peer: member("two", 6), Revision: 5}}, m.Tick(start))
+	m.FetchFailed(start, "two")
+	now := start.Add(m.Timing.Patience * 3 / 2)
+	m.FetchFailed(now, "one")
+	m.FetchFailed(now, "two")
+	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{}}, m.Tick(now))
+	m.StoreAnswered(now, wqconfig.StoreValue{History: all[6], Revision: 2})
+	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 6}}, m.Tick(now))
+}
+
+func TestNotesThatDoNotApplyAreReplacedByTheWhole(t *testing.T) {
+	all := histories(6)
+	m := newMachine("zz", member("one", 6))
+	m.Accepted(start, all[5], 1)
+	m.Tick(start)
+	m.Fetched(start, "one", wqhistory.Update{Revision: 6, Notes: []*wqnote.Note{wqnote.Out("odd", "nowhere")}})
+	must.Eq(t, 5, m.History().Revision())
+	now := start.Add(time.Second)
+	must.SliceContains(t, m.Tick(now), wqconfig.Action(wqconfig.Fetch{Peer: member("one", 6), Revision: 0}))
+	m.Fetched(now, "one", all[6].Since(0))
+	must.Eq(t, 6, m.History().Revision())
+}
+
+func TestAFewVMsOfEachZoneWatch(t *testing.T) {
+	for _, size := range []int{1, 8, 50, 200, 920} {
+		var all []wqmember.Member
+		zones := min(size, 9)
+		for i := range size {
+			all = append(all, wqmember.Member{ID: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("z%d", i%zones)})
+		}
+		watchers := 0
+		for _, m := range all {
+			if (wqconfig.PerZone{Count: 2}).Watches(m, all) {
+				watchers++
+			}
+		}
+		must.Eq(t, min(size, 2*zones), watchers)
+	}
+}
--- /dev/null
+++ b/core/wqconfig/store.go
@@ -0,0 +1,112 @@
+package wqconfig
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqhistory"
+)
+
+// maxDoublings bounds how often the time between two tries is doubled.
+const maxDoublings = 8
+
+// storeState is this VM's side of the store. At most one call is on its way.
+type storeState struct {
+	revision  uint64 // revision is the highest of the key that was seen.
+	busy      bool
+	proving   bool // proving is true while the call on its way proves its answer.
+	reading   bool // reading is true while the call on its way is no watch.
+	reachable bool
+	failures  int
+	nextAt    time.Time // nextAt is the earliest time of the next call.
+	readAt    time.Time // readAt is when a watcher reads the whole value again.
+}
+
+// StoreValue is the store's answer to a ReadStore or a WatchStore.
+type StoreValue struct {
+	History  *wqhistory.History // History is nil when nothing changed or there is none.
+	Revision uint64             // Revision is the key's; 0 when nothing changed or there is none.
+	Bytes    int                // Bytes is the size of the value.
+}
+
+// StoreAnswered takes in the store's answer. Answers from the past change
+// nothing.
+func (m *Machine[P]) StoreAnswered(now time.Time, v StoreValue) {
+	m.now = now
+	s := &m.store
+	proved := s.proving && v.History != nil
+	first := m.history == nil && v.History == nil
+	if s.reading {
+		s.readAt = now.Add(m.jitter(m.readPeriod(v.Bytes)))
+	}
+	s.busy, s.proving, s.reading = false, false, false
+	s.reachable = true
+	s.nextAt = now.Add(m.jitter(m.Timing.Pause))
+	s.revision = max(s.revision, v.Revision)
+	if first {
+		s.nextAt = now.Add(m.backoff())
+		return
+	}
+	s.failures = 0
+	m.offer(v.History)
+	if proved && m.offered.Revision() == v.History.Revision() {
+		m.proved = true
+	}
+}
+
+// StoreFailed takes in that a call to the store failed.
+func (m *Machine[P]) StoreFailed(now time.Time) {
+	m.now = now
+	s := &m.store
+	s.busy, s.proving, s.reading = false, false, false
+	s.reachable = false
+	s.nextAt = now.Add(m.backoff())
+}
+
+// backoff returns the time until the store is asked again after one more call
+// that brought nothing.
+func (m *Machine[P]) backoff() time.Duration {
+	m.store.failures++
+	doubled := m.Timing.Retry << min(m.store.failures-1, maxDoublings)
+	return m.jitter(min(doubled, m.Timing.MaxBackoff))
+}
+
+// readPeriod returns the time between two reads of a value of this size.
+func (m *Machine[P]) readPeriod(bytes int) time.Duration {
+	atRate := time.Duration(float64(bytes) / m.Timing.ReadRate * float64(time.Second))
+	return max(m.Timing.ReadEvery, atRate)
+}
+
+// callStore starts the next call to the store when one is due.
+func (m *Machine[P]) callStore() {
+	s := &m.store
+	if s.busy || m.now.Before(s.nextAt) {
+		return
+	}
+	switch {
+	case m.history == nil:
+		s.proving, s.reading = true, true
+		m.outbox = append(m.outbox, ReadStore{Confirm: true})
+	case m.stuck() || m.watching && !m.now.Before(s.readAt):
+		s.reading = true
+		m.outbox = append(m.outbox, ReadStore{})
+	case m.watching:
+		m.outbox = append(m.outbox, WatchStore{After: s.revision, Wait: m.Timing.WatchWait})
+	default:
+		return
+	}
+	s.busy = true
+}
+
+// stuck reports whether a higher revision is known but no peer can be asked
+// for it now.
+func (m *Machine[P]) stuck() bool {
+	if m.highest() <= m.history.Revision() {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.fetching || m.useful(p) && !p.retryAt.After(m.now) {
+			return false
+		}
+	}
+	return true
+}
--- a/io/wqdocument/document_test.go
+++ b/io/wqdocument/document_test.go
@@ -95,6 +95,22 @@
 	must.Eq(t, history, got)
 }
 
+func TestUpdateRoundTrip(t *testing.T) {
+	note, err := wqdocument.DecodeNote([]byte(noteText))
+	must.NoError(t, err)
+	history := &wqhistory.History{Topology: sized(8, 2), Notes: []*wqnote.Note{note, note}}
+	for _, revision := range []uint64{0, 4998, 4999, 5000} {
+		want := history.Since(revision)
+		encoded, err := wqdocument.EncodeUpdate(want)
+		must.NoError(t, err)
+		got, err := wqdocument.DecodeUpdate(encoded)
+		must.NoError(t, err)
+		must.Eq(t, want, got)
+	}
+	_, err = wqdocument.DecodeUpdate(wqdocument.Update{Notes: make([][]byte, 1000)})
+	must.Eq(t, wqfault.BadInput, wqfault.KindOf(err))
+}
+
 func TestTopologyNearAMegabyteIsRefusedWithRemedy(t *testing.T) {
 	large := sized(100, 3)
 	seed := uint64(1)
