Refuse work that would wait over half of its time

Change: a job is refused on arrival when it is expected to take over half of its time, and on leaving the queue when under 1.5 mean latencies are left; an idle target is always tried, so that a slow spell does not close the lane; stragglers count three means at most.

--- a/core/wqlane/lane.go
+++ b/core/wqlane/lane.go
@@ -31,11 +31,17 @@
 )
 
 const (
+	// outlier is the multiple of the mean latency above which a latency counts
+	// no more, so that stragglers don't close the lane to others.
+	outlier = 3
 	// smoothing is the weight of a new latency in the running mean.
 	smoothing = 0.125
-	// hopeless is the share of the mean latency below which the time left of a
-	// request is too short to send it.
-	hopeless = 0.5
+	// hopeless is the multiple of the mean latency below which the time left of
+	// a request is too short to send it.
+	hopeless = 1.5
+	// waitShare is the share of the time left that a job may be expected to
+	// wait; the rest covers slower answers than usual and another replica.
+	waitShare = 0.5
 )
 
 // Job is one sub-query or write-like request for the target.
@@ -90,7 +96,7 @@
 	if allowed == 0 {
 		return false
 	}
-	if now.Add(l.expected(allowed)).After(j.Deadline) {
+	if !l.idle() && float64(l.expected(allowed)) > waitShare*float64(j.Deadline.Sub(now)) {
 		return false
 	}
 	return l.queue.Push(j, j.Deadline)
@@ -114,8 +120,9 @@
 func (l *Lane[T, P]) Done(now time.Time, o Outcome) {
 	l.limiter.Release(wqlimit.Sample{Started: o.Started, Ended: now, Status: o.Status})
 	l.learn(now, o)
-	if o.Status == wqreport.Answered {
-		l.measure(now.Sub(o.Started))
+	took := now.Sub(o.Started)
+	if o.Status == wqreport.Answered || (o.Status == wqreport.Expired && took > l.mean) {
+		l.measure(took)
 	}
 }
 
@@ -154,6 +161,12 @@
 	return min(l.limiter.Limit(), l.gate.Allowed(now))
 }
 
+// idle reports whether the target has nothing to do for this VM. Then a job is
+// sent however slow the target was before, so that its recovery is noticed.
+func (l *Lane[T, P]) idle() bool {
+	return l.queue.Len() == 0 && l.limiter.InFlight() == 0
+}
+
 // expected is the time until a new job would be answered.
 func (l *Lane[T, P]) expected(allowed int) time.Duration {
 	ahead := l.queue.Len()/l.batch + max(l.limiter.InFlight()-allowed+1, 0)
@@ -174,6 +187,9 @@
 
 // leastTime is the time left below which a job is not sent.
 func (l *Lane[T, P]) leastTime() time.Duration {
+	if l.limiter.InFlight() == 0 {
+		return 0
+	}
 	return time.Duration(float64(l.mean) * hopeless)
 }
 
@@ -219,5 +235,6 @@
 		l.mean = latency
 		return
 	}
+	latency = min(latency, outlier*l.mean)
 	l.mean += time.Duration(float64(latency-l.mean) * smoothing)
 }
