--- a/core/wqlane/lane.go
+++ b/core/wqlane/lane.go
@@ -105,7 +105,7 @@
 // Next returns the jobs to send in one request now, for which it takes a slot,
 // and those to refuse because too little time is left. No jobs to send means
 // that a slot or work is lacking.
-func (l *Lane[T, P]) Next(now time.Time) (send, refuse []Job[T]) {
+func (l *Lane[T, P]) Next(now time.Time) (send, refuse []T) {
 	if l.limiter.InFlight() == 0 && l.allowed(now) == 0 {
 		return nil, l.dropAll()
 	}
@@ -174,14 +174,14 @@
 	return waits + l.mean
 }
 
-func (l *Lane[T, P]) dropAll() []Job[T] {
-	var refuse []Job[T]
+func (l *Lane[T, P]) dropAll() []T {
+	var refuse []T
 	for {
 		j, _, ok := l.queue.Pop()
 		if !ok {
 			return refuse
 		}
-		refuse = append(refuse, j)
+		refuse = append(refuse, j.Item)
 	}
 }
 
@@ -193,8 +193,8 @@
 	return time.Duration(float64(l.mean) * hopeless)
 }
 
-func (l *Lane[T, P]) dropHopeless(now time.Time) []Job[T] {
-	var refuse []Job[T]
+func (l *Lane[T, P]) dropHopeless(now time.Time) []T {
+	var refuse []T
 	least := l.leastTime()
 	for {
 		_, deadline, ok := l.queue.First()
@@ -202,21 +202,22 @@
 			return refuse
 		}
 		j, _, _ := l.queue.Pop()
-		refuse = append(refuse, j)
+		refuse = append(refuse, j.Item)
 	}
 }
 
 // take removes the next batch from the queue.
-func (l *Lane[T, P]) take() []Job[T] {
+func (l *Lane[T, P]) take() []T {
 	first, _, _ := l.queue.Pop()
-	send := []Job[T]{first}
+	send := make([]T, 1, min(l.batch, l.queue.Len()+1))
+	send[0] = first.Item
 	for len(send) < l.batch && !first.Alone {
 		next, _, ok := l.queue.First()
 		if !ok || next.Alone {
 			break
 		}
 		_, _, _ = l.queue.Pop()
-		send = append(send, next)
+		send = append(send, next.Item)
 	}
 	return send
 }
--- a/core/wqlane/lane_test.go
+++ b/core/wqlane/lane_test.go
@@ -54,11 +54,12 @@
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		batch := rapid.IntRange(1, 4).Draw(t, "batch")
 		l := newLane(slots, rapid.IntRange(0, 2).Draw(t, "cold"), batch)
-		open := make(map[int]bool)
+		open := make(map[int]int)
 		inFlight := 0
 		for now := range 300 {
-			if rapid.Bool().Draw(t, "offer") && l.Offer(at(now), job(now, now+rapid.IntRange(0, 60).Draw(t, "left"))) {
-				open[now] = true
+			left := rapid.IntRange(0, 60).Draw(t, "left")
+			if rapid.Bool().Draw(t, "offer") && l.Offer(at(now), job(now, now+left)) {
+				open[now] = now + left
 			}
 			if inFlight > 0 && rapid.IntRange(0, 2).Draw(t, "done") == 0 {
 				inFlight--
@@ -67,13 +68,13 @@
 			}
 			send, refuse := l.Next(at(now))
 			must.LessEq(t, batch, len(send))
-			for _, j := range append(send, refuse...) {
-				must.True(t, open[j.Item])
-				delete(open, j.Item)
-			}
 			if len(send) > 0 {
 				inFlight++
-				must.True(t, send[0].Deadline.After(at(now)))
+				must.Greater(t, now, open[send[0]])
+			}
+			for _, item := range append(send, refuse...) {
+				must.MapContainsKey(t, open, item)
+				delete(open, item)
 			}
 			must.LessEq(t, slots, inFlight)
 			must.EqOp(t, inFlight, l.InFlight())
--- a/core/wqqueue/queue.go
+++ b/core/wqqueue/queue.go
@@ -15,17 +15,14 @@
 // A Queue is not safe for concurrent use.
 package wqqueue
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // Queue is a queue ordered by deadline. Items with equal deadlines leave in the
 // order in which they came.
 type Queue[T any] struct {
 	Capacity int // Capacity is the most items that it holds.
 
-	entries entries[T]
+	entries []entry[T] // entries is a heap: each comes before its children at 2i+1 and 2i+2.
 	pushed  uint64
 }
 
@@ -41,7 +38,8 @@
 		return false
 	}
 	q.pushed++
-	heap.Push(&q.entries, entry[T]{item, deadline, q.pushed})
+	q.entries = append(q.entries, entry[T]{item, deadline, q.pushed})
+	q.rise(len(q.entries) - 1)
 	return true
 }
 
@@ -52,7 +50,12 @@
 		var none T
 		return none, time.Time{}, false
 	}
-	e := heap.Pop(&q.entries).(entry[T])
+	e := q.entries[0]
+	last := len(q.entries) - 1
+	q.entries[0] = q.entries[last]
+	q.entries[last] = entry[T]{}
+	q.entries = q.entries[:last]
+	q.sink(0)
 	return e.item, e.deadline, true
 }
 
@@ -69,31 +72,44 @@
 // Len returns how many items are queued.
 func (q *Queue[T]) Len() int { return len(q.entries) }
 
-// entries implements heap.Interface.
-type entries[T any] []entry[T]
-
-// Len implements sort.Interface.
-func (e entries[T]) Len() int { return len(e) }
-
-// Less implements sort.Interface.
-func (e entries[T]) Less(i, j int) bool {
-	if !e[i].deadline.Equal(e[j].deadline) {
-		return e[i].deadline.Before(e[j].deadline)
+// rise moves the entry at i towards the front.
+func (q *Queue[T]) rise(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !q.before(i, parent) {
+			return
+		}
+		q.swap(i, parent)
+		i = parent
 	}
-	return e[i].number < e[j].number
 }
 
-// Swap implements sort.Interface.
-func (e entries[T]) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+// sink moves the entry at i towards the back.
+func (q *Queue[T]) sink(i int) {
+	for {
+		child := 2*i + 1
+		if child >= len(q.entries) {
+			return
+		}
+		if child+1 < len(q.entries) && q.before(child+1, child) {
+			child++
+		}
+		if !q.before(child, i) {
+			return
+		}
+		q.swap(i, child)
+		i = child
+	}
+}
 
-// Push implements heap.Interface.
-func (e *entries[T]) Push(x any) { *e = append(*e, x.(entry[T])) }
+func (q *Queue[T]) before(i, j int) bool {
+	a, b := &q.entries[i], &q.entries[j]
+	if !a.deadline.Equal(b.deadline) {
+		return a.deadline.Before(b.deadline)
+	}
+	return a.number < b.number
+}
 
-// Pop implements heap.Interface.
-func (e *entries[T]) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	old[len(old)-1] = entry[T]{}
-	*e = old[:len(old)-1]
-	return last
+func (q *Queue[T]) swap(i, j int) {
+	q.entries[i], q.entries[j] = q.entries[j], q.entries[i]
 }
--- a/io/wqholder/dispatch.go
+++ b/io/wqholder/dispatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"wisteriaquay/core/wqlane"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqtarget"
@@ -56,39 +55,39 @@
 }
 
 // proceed starts a request and ends the refused tasks.
-func (h *Holder[C, P]) proceed(l *lane[P], send, refuse []wqlane.Job[*task]) {
+func (h *Holder[C, P]) proceed(l *lane[P], send, refuse []*task) {
 	refuseAll(refuse, wqreport.NotRun)
 	if len(send) > 0 {
 		go h.work(l, send)
 	}
 }
 
-func refuseAll(jobs []wqlane.Job[*task], status wqreport.Status) {
-	for _, j := range jobs {
-		j.Item.refuse(status)
+func refuseAll(tasks []*task, status wqreport.Status) {
+	for _, t := range tasks {
+		t.refuse(status)
 	}
 }
 
 // work sends requests of a lane until it has no more to send on this slot.
-func (h *Holder[C, P]) work(l *lane[P], send []wqlane.Job[*task]) {
+func (h *Holder[C, P]) work(l *lane[P], send []*task) {
 	for len(send) > 0 {
-		var refuse []wqlane.Job[*task]
+		var refuse []*task
 		send, refuse = h.exchange(l, send)
 		refuseAll(refuse, wqreport.NotRun)
 	}
 }
 
 // exchange sends one request, ends its tasks and returns what comes next.
-func (h *Holder[C, P]) exchange(l *lane[P], jobs []wqlane.Job[*task]) (send, refuse []wqlane.Job[*task]) {
+func (h *Holder[C, P]) exchange(l *lane[P], tasks []*task) (send, refuse []*task) {
 	now := time.Now()
 	l.mu.Lock()
 	s := l.searcher
 	l.mu.Unlock()
 	if status := h.check(h.View(), s.ID, now); status != wqreport.Answered {
-		refuseAll(jobs, status)
+		refuseAll(tasks, status)
 		return l.cancel(now)
 	}
-	tasks := waiting(jobs)
+	tasks = waiting(tasks)
 	if len(tasks) == 0 {
 		return l.cancel(now)
 	}
@@ -98,15 +97,15 @@
 	return h.sendSearch(l, s, tasks)
 }
 
-// waiting takes the tasks that somebody still waits for.
-func waiting(jobs []wqlane.Job[*task]) []*task {
-	tasks := make([]*task, 0, len(jobs))
-	for _, j := range jobs {
-		if j.Item.take() {
-			tasks = append(tasks, j.Item)
+// waiting takes the tasks that somebody still waits for; it reuses the slice.
+func waiting(tasks []*task) []*task {
+	taken := tasks[:0]
+	for _, t := range tasks {
+		if t.take() {
+			taken = append(taken, t)
 		}
 	}
-	return tasks
+	return taken
 }
 
 func latest(tasks []*task) time.Time {
@@ -139,12 +138,19 @@
 	return batch
 }
 
-// background returns a context that ends at the last deadline of the tasks and
+// contextOf returns the context of a request that carries the tasks: that of
+// their fan when they have the same one; else it ends at their last deadline or
 // when nobody waits for any of them.
-func background(tasks []*task) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(context.Background(), latest(tasks))
-	newGroup(tasks, cancel)
-	return ctx, cancel
+func contextOf(tasks []*task) (context.Context, context.CancelFunc) {
+	first := tasks[0].fan
+	for _, t := range tasks[1:] {
+		if t.fan != first {
+			ctx, cancel := context.WithDeadline(context.Background(), latest(tasks))
+			newGroup(tasks, cancel)
+			return ctx, cancel
+		}
+	}
+	return first.ctx, func() {}
 }
 
 // report passes an observation on when it brings news or the last is old, so
--- a/io/wqholder/fan.go
+++ b/io/wqholder/fan.go
@@ -26,11 +26,14 @@
 
 // fan is one FanRequest in progress.
 type fan struct {
+	ctx     context.Context //nolint:containedctx // The requests of the fan end with it.
 	request *wqpb.FanRequest
 	limit   int
 	arrived time.Time
 	tasks   []task
 	results chan result // results has room for every task, so that no sender waits.
+	part    part        // part is reused for each FanPart.
+	twice   bool        // twice is true when a shard may be asked for more than once.
 	open    int         // open counts the tasks without a result.
 }
 
@@ -57,14 +60,15 @@
 	}
 	f := newFan(r, time.Now())
 	deadline := f.arrived.Add(time.Duration(r.RemainingMicros) * time.Microsecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	f.ctx = ctx
 	for i, sub := range r.SubQueries {
 		t := &f.tasks[i]
 		t.fan, t.sub, t.deadline = f, sub, deadline
 		h.offer(f.arrived, sub.Searcher, t)
 	}
 	defer f.abandon()
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	return f.collect(ctx, send)
 }
 
@@ -88,14 +92,27 @@
 	if limit == 0 {
 		limit = defaultLimit
 	}
-	return &fan{
+	f := &fan{
 		request: r,
 		limit:   limit,
 		arrived: now,
 		tasks:   make([]task, len(r.SubQueries)),
 		results: make(chan result, len(r.SubQueries)),
+		twice:   !ascending(r.SubQueries),
 		open:    len(r.SubQueries),
 	}
+	f.part.fan = f
+	return f
+}
+
+// ascending reports whether the shards are in order without repetition.
+func ascending(subs []*wqpb.SubQuery) bool {
+	for i := 1; i < len(subs); i++ {
+		if subs[i-1].GetShard() >= subs[i].GetShard() {
+			return false
+		}
+	}
+	return true
 }
 
 // collect passes the results on until all are there or the time is over.
@@ -115,22 +132,20 @@
 
 // pass sends a result together with those that are there already.
 func (f *fan) pass(first result, send func(*wqpb.FanPart) error) error {
-	p := newPart(f)
+	p := &f.part
 	p.add(first)
-	f.open--
 	for {
 		select {
 		case r := <-f.results:
-			f.open--
-			if !p.add(r) {
-				if err := send(p.finish()); err != nil {
-					return eris.Wrap(err, "send a part")
-				}
-				p = newPart(f)
-				p.add(r)
+			if p.add(r) {
+				continue
+			}
+			if err := p.flush(send); err != nil {
+				return err
 			}
+			p.add(r)
 		default:
-			return eris.Wrap(send(p.finish()), "send a part")
+			return p.flush(send)
 		}
 	}
 }
@@ -140,14 +155,14 @@
 	if ctx.Err() != context.DeadlineExceeded {
 		return eris.Wrap(ctx.Err(), "the entry cancelled the request")
 	}
-	p := newPart(f)
+	p := &f.part
 	for i := range f.tasks {
 		t := &f.tasks[i]
 		if !t.reported {
-			p.add(result{task: t, status: wqreport.Expired, sent: t.group.Load() != nil})
+			p.add(result{task: t, status: wqreport.Expired, sent: !t.take()})
 		}
 	}
-	return eris.Wrap(send(p.finish()), "send a part")
+	return p.flush(send)
 }
 
 // abandon cancels the requests that nobody waits for any more.
--- a/io/wqholder/lane.go
+++ b/io/wqholder/lane.go
@@ -77,7 +77,7 @@
 }
 
 // offer queues a task and returns what to send and refuse now.
-func (l *lane[P]) offer(now time.Time, t *task) (accepted bool, send, refuse []wqlane.Job[*task]) {
+func (l *lane[P]) offer(now time.Time, t *task) (accepted bool, send, refuse []*task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.state.Offer(now, wqlane.Job[*task]{Item: t, Deadline: t.deadline, Alone: t.write != nil}) {
@@ -88,7 +88,7 @@
 }
 
 // done gives a slot back and returns what to send and refuse now.
-func (l *lane[P]) done(now time.Time, o wqlane.Outcome) (send, refuse []wqlane.Job[*task]) {
+func (l *lane[P]) done(now time.Time, o wqlane.Outcome) (send, refuse []*task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state.Done(now, o)
@@ -96,7 +96,7 @@
 }
 
 // cancel gives an unused slot back and returns what to send and refuse now.
-func (l *lane[P]) cancel(now time.Time) (send, refuse []wqlane.Job[*task]) {
+func (l *lane[P]) cancel(now time.Time) (send, refuse []*task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state.Cancel()
@@ -104,13 +104,13 @@
 }
 
 // wake returns what to send and refuse now.
-func (l *lane[P]) wake(now time.Time) (send, refuse []wqlane.Job[*task]) {
+func (l *lane[P]) wake(now time.Time) (send, refuse []*task) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.next(now)
 }
 
-func (l *lane[P]) next(now time.Time) (send, refuse []wqlane.Job[*task]) {
+func (l *lane[P]) next(now time.Time) (send, refuse []*task) {
 	send, refuse = l.state.Next(now)
 	at, queued := l.state.NextRefusal()
 	if queued {
--- a/io/wqholder/part.go
+++ b/io/wqholder/part.go
@@ -6,15 +6,18 @@
 	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqtarget"
 )
 
-// part gathers the results of one FanPart.
+// part gathers the results of one FanPart after the other.
 type part struct {
 	fan     *fan
 	results []result
+	rows    []ranked
 }
 
 // ranked is a row with the snapshot and the shard that it comes from.
@@ -24,15 +27,14 @@
 	snapshot uint64
 }
 
-func newPart(f *fan) *part { return &part{fan: f} }
-
 // add takes a result, unless the part has an answer of the same shard: its rows
 // would be mistaken for each other.
 func (p *part) add(r result) bool {
-	if r.answered() && slices.ContainsFunc(p.results, r.sameShard) {
+	if p.fan.twice && r.answered() && slices.ContainsFunc(p.results, r.sameShard) {
 		return false
 	}
 	r.task.reported = true
+	p.fan.open--
 	p.results = append(p.results, r)
 	return true
 }
@@ -43,6 +45,19 @@
 	return other.answered() && other.task.sub.Shard == r.task.sub.Shard
 }
 
+// flush sends the part and empties it.
+func (p *part) flush(send func(*wqpb.FanPart) error) error {
+	if len(p.results) == 0 {
+		return nil
+	}
+	if err := send(p.finish()); err != nil {
+		return eris.Wrap(err, "send a part")
+	}
+	clear(p.results)
+	p.results = p.results[:0]
+	return nil
+}
+
 // finish returns the part with its results and the best rows of each snapshot.
 func (p *part) finish() *wqpb.FanPart {
 	now := time.Now()
@@ -94,13 +109,7 @@
 }
 
 func (p *part) allRows() []ranked {
-	total := 0
-	for i := range p.results {
-		if p.results[i].answered() {
-			total += len(p.results[i].answer.Rows)
-		}
-	}
-	rows := make([]ranked, 0, total)
+	rows := p.rows[:0]
 	for i := range p.results {
 		r := &p.results[i]
 		if !r.answered() {
@@ -110,6 +119,7 @@
 			rows = append(rows, ranked{&r.answer.Rows[j], r.answer.Shard, r.answer.Snapshot})
 		}
 	}
+	p.rows = rows
 	return rows
 }
 
--- a/io/wqholder/search.go
+++ b/io/wqholder/search.go
@@ -11,8 +11,8 @@
 
 // sendSearch sends the tasks in one request, ends them and returns what comes
 // next on the slot.
-func (h *Holder[C, P]) sendSearch(l *lane[P], s *wqtopology.Searcher, tasks []*task) (send, refuse []wqlane.Job[*task]) {
-	ctx, cancel := background(tasks)
+func (h *Holder[C, P]) sendSearch(l *lane[P], s *wqtopology.Searcher, tasks []*task) (send, refuse []*task) {
+	ctx, cancel := contextOf(tasks)
 	defer cancel()
 	started := time.Now()
 	reply, err := h.Client.Search(ctx, s, queries(started, tasks))
--- a/io/wqholder/write.go
+++ b/io/wqholder/write.go
@@ -39,7 +39,7 @@
 }
 
 // sendWrite sends the task's request, which nothing but its deadline cancels.
-func (h *Holder[C, P]) sendWrite(l *lane[P], s *wqtopology.Searcher, t *task) (send, refuse []wqlane.Job[*task]) {
+func (h *Holder[C, P]) sendWrite(l *lane[P], s *wqtopology.Searcher, t *task) (send, refuse []*task) {
 	ctx, cancel := context.WithDeadline(context.Background(), t.deadline)
 	defer cancel()
 	r := t.write.request
