--- a/test/wqstand/main.go
+++ b/test/wqstand/main.go
@@ -3,6 +3,7 @@
 //
 // # Usage
 //
+//	wqstand demo --program bin/wisteriaquay
 //	wqstand serve --note note.json --store-listen 127.0.0.1:8200 --vm-list-listen 127.0.0.1:8201
 //
 // It hosts every searcher that the release note adds, at the address that the
@@ -40,6 +41,10 @@
 	if _, err := p.AddCommand("serve", "run the stand-ins", "Run the store, the VM list and the searchers of a release note.", serving); err != nil {
 		return err
 	}
+	showing := &demoCommand{ctx: ctx, out: os.Stdout}
+	if _, err := p.AddCommand("demo", "show the path", "Run stand-ins and three VMs on loopback and show what callers and operators see.", showing); err != nil {
+		return err
+	}
 	_, err := p.ParseArgs(args)
 	return err
 }
--- a/test/wqstand/serve.go
+++ b/test/wqstand/serve.go
@@ -44,7 +44,9 @@
 }
 
 // Execute runs the stand-ins until the context ends.
-func (s *serveCommand) Execute([]string) error {
+func (s *serveCommand) Execute([]string) error { return s.serve() }
+
+func (s *serveCommand) serve() error {
 	data, err := os.ReadFile(s.Note)
 	if err != nil {
 		return err
