--- a/core/wqconfig/fleet_test.go
+++ b/core/wqconfig/fleet_test.go
@@ -170,7 +170,7 @@
 	id, revision := v.member.ID, v.History().Revision()
 	for range count {
 		to := f.vms[f.random.IntN(len(f.vms))]
-		f.send(to, func() { to.Heard(f.now, id, revision) })
+		f.send(to, func() { to.Handle(f.now, wqconfig.Heard{Peer: id, Revision: revision}) })
 	}
 }
 
@@ -202,7 +202,7 @@
 		f.send(v, func() {
 			if !done {
 				done = true
-				v.Fetched(f.now, a.Peer.ID, u)
+				v.Handle(f.now, wqconfig.Fetched{Peer: a.Peer.ID, Update: u})
 			}
 		})
 	})
@@ -210,7 +210,7 @@
 		f.deliver(v, func() {
 			if !done {
 				done = true
-				v.FetchFailed(f.now, a.Peer.ID)
+				v.Handle(f.now, wqconfig.FetchFailed{Peer: a.Peer.ID})
 			}
 		})
 	})
@@ -219,13 +219,13 @@
 func (f *fleet) read(v *vm, a wqconfig.ReadStore) {
 	newest := len(f.accepted) - 1
 	if f.stale && a.Confirm || f.down {
-		v.StoreFailed(f.now)
+		v.Handle(f.now, wqconfig.StoreFailed{})
 		return
 	}
 	if f.stale {
 		newest = f.random.IntN(newest + 1)
 	}
-	v.StoreAnswered(f.now, wqconfig.StoreValue{History: f.accepted[newest], Revision: uint64(newest), Bytes: 4096})
+	v.Handle(f.now, wqconfig.StoreAnswered{History: f.accepted[newest], Revision: uint64(newest), Bytes: 4096})
 }
 
 func (f *fleet) watch(v *vm, a wqconfig.WatchStore, until time.Time) {
@@ -234,11 +234,11 @@
 			newest := len(f.accepted) - 1
 			switch {
 			case f.down:
-				v.StoreFailed(f.now)
+				v.Handle(f.now, wqconfig.StoreFailed{})
 			case uint64(newest) > a.After && !f.stale:
-				v.StoreAnswered(f.now, wqconfig.StoreValue{History: f.accepted[newest], Revision: uint64(newest), Bytes: 4096})
+				v.Handle(f.now, wqconfig.StoreAnswered{History: f.accepted[newest], Revision: uint64(newest), Bytes: 4096})
 			case !f.now.Before(until):
-				v.StoreAnswered(f.now, wqconfig.StoreValue{})
+				v.Handle(f.now, wqconfig.StoreAnswered{})
 			default:
 				f.watch(v, a, until)
 			}
@@ -255,7 +255,7 @@
 	h, err := f.accepted[len(f.accepted)-1].Next(n)
 	must.NoError(f.t, err)
 	f.accepted = append(f.accepted, h)
-	v.Accepted(f.now, h, uint64(len(f.accepted)-1))
+	v.Handle(f.now, wqconfig.Accepted{History: h, StoreRevision: uint64(len(f.accepted) - 1)})
 }
 
 func (f *fleet) converged(revision uint64) bool {
--- a/core/wqconfig/machine.go
+++ b/core/wqconfig/machine.go
@@ -16,14 +16,15 @@
 // # Usage
 //
 // The control goroutine owns one Machine and does what it returns; every Fetch
-// ends in one call of Fetched or FetchFailed, every ReadStore and WatchStore in
-// one call of StoreAnswered or StoreFailed:
+// ends in one event Fetched or FetchFailed, every ReadStore and WatchStore in
+// one event StoreAnswered or StoreFailed:
 //
 //	m := &wqconfig.Machine[wqconfig.PerZone]{Self: self, Policy: wqconfig.PerZone{Count: 2}, Timing: wqconfig.DefaultTiming(), Random: random}
 //	m.Start(now)
+//	m.Handle(now, wqconfig.Heard{Peer: "vm2", Revision: 7})
 //	for _, a := range m.Tick(now) { ... }
 //
-// Call Tick after each input and at Next at the latest.
+// Call Tick after each event and at Next at the latest.
 package wqconfig
 
 import (
@@ -99,47 +100,54 @@
 	m.watching = m.Policy.Watches(m.Self, all)
 }
 
-// Heard takes in that a live peer has a revision.
-func (m *Machine[P]) Heard(now time.Time, id string, revision uint64) {
+// Handle takes in an event.
+func (m *Machine[P]) Handle(now time.Time, e Event) {
 	m.now = now
-	if p := m.peers[id]; p != nil {
-		p.Revision = max(p.Revision, revision)
+	switch e := e.(type) {
+	case Heard:
+		m.heard(e)
+	case Fetched:
+		m.fetched(e)
+	case FetchFailed:
+		m.fetchFailed(e)
+	case StoreAnswered:
+		m.storeAnswered(e)
+	case StoreFailed:
+		m.storeFailed()
+	case Accepted:
+		m.store.revision = max(m.store.revision, e.StoreRevision)
+		m.adopt(e.History)
 	}
 }
 
-// Accepted takes in a configuration that this VM's own swap made.
-func (m *Machine[P]) Accepted(now time.Time, h *wqhistory.History, storeRevision uint64) {
-	m.now = now
-	m.store.revision = max(m.store.revision, storeRevision)
-	m.adopt(h)
+func (m *Machine[P]) heard(e Heard) {
+	if p := m.peers[e.Peer]; p != nil {
+		p.Revision = max(p.Revision, e.Revision)
+	}
 }
 
-// Fetched takes in a peer's answer to a Fetch.
-func (m *Machine[P]) Fetched(now time.Time, id string, u wqhistory.Update) {
-	m.now = now
-	p := m.peers[id]
+func (m *Machine[P]) fetched(e Fetched) {
+	p := m.peers[e.Peer]
 	if p != nil {
 		p.fetching, p.answered = false, true
-		p.Revision = u.Revision
-		p.retryAt = now.Add(m.jitter(m.Timing.Retry))
+		p.Revision = e.Update.Revision
+		p.retryAt = m.now.Add(m.jitter(m.Timing.Retry))
 	}
 	base := m.history
 	if base == nil {
 		base = m.offered
 	}
-	next, err := base.Follow(u)
+	next, err := base.Follow(e.Update)
 	if p != nil {
 		p.whole = err != nil
 	}
 	m.offer(next)
 }
 
-// FetchFailed takes in that a peer did not answer a Fetch in time.
-func (m *Machine[P]) FetchFailed(now time.Time, id string) {
-	m.now = now
-	if p := m.peers[id]; p != nil {
+func (m *Machine[P]) fetchFailed(e FetchFailed) {
+	if p := m.peers[e.Peer]; p != nil {
 		p.fetching = false
-		p.retryAt = now.Add(m.jitter(m.Timing.Retry))
+		p.retryAt = m.now.Add(m.jitter(m.Timing.Retry))
 	}
 }
 
--- a/core/wqconfig/machine_test.go
+++ b/core/wqconfig/machine_test.go
@@ -62,11 +62,11 @@
 	must.Eq(t, []wqconfig.Action{
 		wqconfig.Fetch{Peer: member("two", 9)}, wqconfig.Fetch{Peer: member("three", 9)},
 	}, sortFetches(actions))
-	m.Fetched(start, "three", all[9].Since(0))
+	m.Handle(start, wqconfig.Fetched{Peer: "three", Update: all[9].Since(0)})
 	must.SliceEmpty(t, withoutFetches(m.Tick(start)))
 	must.Nil(t, m.History(), must.Sprint("one witness is not enough"))
-	m.FetchFailed(start, "two")
-	m.Fetched(start, "one", all[8].Since(0))
+	m.Handle(start, wqconfig.FetchFailed{Peer: "two"})
+	m.Handle(start, wqconfig.Fetched{Peer: "one", Update: all[8].Since(0)})
 	must.SliceContains(t, m.Tick(start), wqconfig.Action(wqconfig.Announce{Revision: 9}))
 	must.Eq(t, 9, m.History().Revision())
 }
@@ -75,9 +75,9 @@
 	all := histories(9)
 	m := newMachine("new", member("one", 7), member("two", 7), member("ahead", 9))
 	m.Tick(start)
-	m.Fetched(start, "one", all[7].Since(0))
-	m.Fetched(start, "two", all[7].Since(0))
-	m.FetchFailed(start, "ahead")
+	m.Handle(start, wqconfig.Fetched{Peer: "one", Update: all[7].Since(0)})
+	m.Handle(start, wqconfig.Fetched{Peer: "two", Update: all[7].Since(0)})
+	m.Handle(start, wqconfig.FetchFailed{Peer: "ahead"})
 	m.Tick(start)
 	must.Nil(t, m.History())
 	ahead := member("ahead", 9)
@@ -93,21 +93,21 @@
 	must.SliceEmpty(t, m.Tick(start))
 	now := start.Add(time.Second)
 	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{Confirm: true}}, m.Tick(now))
-	m.StoreFailed(now)
+	m.Handle(now, wqconfig.StoreFailed{})
 	must.False(t, m.StoreReachable())
 	now = now.Add(time.Second)
 	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{Confirm: true}}, m.Tick(now))
-	m.StoreAnswered(now, wqconfig.StoreValue{History: all[5], Revision: 20})
+	m.Handle(now, wqconfig.StoreAnswered{History: all[5], Revision: 20})
 	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 5}}, m.Tick(now))
 }
 
 func TestStaleStoreAnswersChangeNothing(t *testing.T) {
 	all := histories(5)
 	m := newMachine("vm")
-	m.Accepted(start, all[5], 50)
+	m.Handle(start, wqconfig.Accepted{History: all[5], StoreRevision: 50})
 	now := start.Add(time.Second)
 	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 5}, wqconfig.ReadStore{}}, m.Tick(now))
-	m.StoreAnswered(now, wqconfig.StoreValue{History: all[3], Revision: 30})
+	m.Handle(now, wqconfig.StoreAnswered{History: all[3], Revision: 30})
 	must.SliceEmpty(t, m.Tick(now))
 	must.Eq(t, 5, m.History().Revision())
 	now = now.Add(time.Second)
@@ -117,7 +117,7 @@
 func TestWatchThatMissesChangesIsCoveredByReads(t *testing.T) {
 	all := histories(5)
 	m := newMachine("vm")
-	m.Accepted(start, all[4], 50)
+	m.Handle(start, wqconfig.Accepted{History: all[4], StoreRevision: 50})
 	now := start
 	reads, watches := 0, 0
 	for now.Before(start.Add(30 * time.Second)) {
@@ -125,11 +125,11 @@
 			switch a.(type) {
 			case wqconfig.ReadStore:
 				reads++
-				m.StoreAnswered(now, wqconfig.StoreValue{History: all[4], Revision: 50, Bytes: 2048})
+				m.Handle(now, wqconfig.StoreAnswered{History: all[4], Revision: 50, Bytes: 2048})
 			case wqconfig.WatchStore:
 				watches++
 				now = now.Add(m.Timing.WatchWait)
-				m.StoreAnswered(now, wqconfig.StoreValue{})
+				m.Handle(now, wqconfig.StoreAnswered{})
 			}
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -141,32 +141,32 @@
 func TestHigherRevisionIsFetchedFromAnotherPeerThenFromTheStore(t *testing.T) {
 	all := histories(6)
 	m := newMachine("zz", member("one", 5), member("two", 5), member("three", 5))
-	m.Accepted(start, all[5], 1)
+	m.Handle(start, wqconfig.Accepted{History: all[5], StoreRevision: 1})
 	m.Tick(start)
-	m.Heard(start, "one", 6)
+	m.Handle(start, wqconfig.Heard{Peer: "one", Revision: 6})
 	must.Eq(t, []wqconfig.Action{wqconfig.Fetch{Peer: member("one", 6), Revision: 5}}, m.Tick(start))
-	m.FetchFailed(start, "one")
-	m.Heard(start, "two", 6)
+	m.Handle(start, wqconfig.FetchFailed{Peer: "one"})
+	m.Handle(start, wqconfig.Heard{Peer: "two", Revision: 6})
 	must.Eq(t, []wqconfig.Action{wqconfig.Fetch{Peer: member("two", 6), Revision: 5}}, m.Tick(start))
-	m.FetchFailed(start, "two")
+	m.Handle(start, wqconfig.FetchFailed{Peer: "two"})
 	now := start.Add(m.Timing.Patience * 3 / 2)
-	m.FetchFailed(now, "one")
-	m.FetchFailed(now, "two")
+	m.Handle(now, wqconfig.FetchFailed{Peer: "one"})
+	m.Handle(now, wqconfig.FetchFailed{Peer: "two"})
 	must.Eq(t, []wqconfig.Action{wqconfig.ReadStore{}}, m.Tick(now))
-	m.StoreAnswered(now, wqconfig.StoreValue{History: all[6], Revision: 2})
+	m.Handle(now, wqconfig.StoreAnswered{History: all[6], Revision: 2})
 	must.Eq(t, []wqconfig.Action{wqconfig.Announce{Revision: 6}}, m.Tick(now))
 }
 
 func TestNotesThatDoNotApplyAreReplacedByTheWhole(t *testing.T) {
 	all := histories(6)
 	m := newMachine("zz", member("one", 6))
-	m.Accepted(start, all[5], 1)
+	m.Handle(start, wqconfig.Accepted{History: all[5], StoreRevision: 1})
 	m.Tick(start)
-	m.Fetched(start, "one", wqhistory.Update{Revision: 6, Notes: []*wqnote.Note{wqnote.Out("odd", "nowhere")}})
+	m.Handle(start, wqconfig.Fetched{Peer: "one", Update: wqhistory.Update{Revision: 6, Notes: []*wqnote.Note{wqnote.Out("odd", "nowhere")}}})
 	must.Eq(t, 5, m.History().Revision())
 	now := start.Add(time.Second)
 	must.SliceContains(t, m.Tick(now), wqconfig.Action(wqconfig.Fetch{Peer: member("one", 6), Revision: 0}))
-	m.Fetched(now, "one", all[6].Since(0))
+	m.Handle(now, wqconfig.Fetched{Peer: "one", Update: all[6].Since(0)})
 	must.Eq(t, 6, m.History().Revision())
 }
 
--- a/core/wqconfig/store.go
+++ b/core/wqconfig/store.go
@@ -1,10 +1,6 @@
 package wqconfig
 
-import (
-	"time"
-
-	"wisteriaquay/core/wqhistory"
-)
+import "time"
 
 // maxDoublings bounds how often the time between two tries is doubled.
 const maxDoublings = 8
@@ -21,29 +17,21 @@
 	readAt    time.Time // readAt is when a watcher reads the whole value again.
 }
 
-// StoreValue is the store's answer to a ReadStore or a WatchStore.
-type StoreValue struct {
-	History  *wqhistory.History // History is nil when nothing changed or there is none.
-	Revision uint64             // Revision is the key's; 0 when nothing changed or there is none.
-	Bytes    int                // Bytes is the size of the value.
-}
-
-// StoreAnswered takes in the store's answer. Answers from the past change
+// storeAnswered takes in the store's answer. Answers from the past change
 // nothing.
-func (m *Machine[P]) StoreAnswered(now time.Time, v StoreValue) {
-	m.now = now
+func (m *Machine[P]) storeAnswered(v StoreAnswered) {
 	s := &m.store
 	proved := s.proving && v.History != nil
 	first := m.history == nil && v.History == nil
 	if s.reading {
-		s.readAt = now.Add(m.jitter(m.readPeriod(v.Bytes)))
+		s.readAt = m.now.Add(m.jitter(m.readPeriod(v.Bytes)))
 	}
 	s.busy, s.proving, s.reading = false, false, false
 	s.reachable = true
-	s.nextAt = now.Add(m.jitter(m.Timing.Pause))
+	s.nextAt = m.now.Add(m.jitter(m.Timing.Pause))
 	s.revision = max(s.revision, v.Revision)
 	if first {
-		s.nextAt = now.Add(m.backoff())
+		s.nextAt = m.now.Add(m.backoff())
 		return
 	}
 	s.failures = 0
@@ -53,13 +41,11 @@
 	}
 }
 
-// StoreFailed takes in that a call to the store failed.
-func (m *Machine[P]) StoreFailed(now time.Time) {
-	m.now = now
+func (m *Machine[P]) storeFailed() {
 	s := &m.store
 	s.busy, s.proving, s.reading = false, false, false
 	s.reachable = false
-	s.nextAt = now.Add(m.backoff())
+	s.nextAt = m.now.Add(m.backoff())
 }
 
 // backoff returns the time until the store is asked again after one more call
--- a/core/wqnote/apply.go
+++ b/core/wqnote/apply.go
@@ -12,8 +12,8 @@
 )
 
 // Apply returns the topology that follows t when n is accepted. It returns a
-// wqfault.Conflict when n lost against another note, or every fault of n as
-// wqfault.BadInput errors joined; t is never changed.
+// wqfault.Conflict when n lost against another note, or a wqfault.BadInput that
+// lists every fault of n with its remedy; t is never changed.
 func Apply(n *Note, t *wqtopology.Topology) (*wqtopology.Topology, error) {
 	if err := checkBase(n, t); err != nil {
 		return nil, err
--- a/core/wqnote/fault.go
+++ b/core/wqnote/fault.go
@@ -1,7 +1,6 @@
 package wqnote
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 
@@ -14,10 +13,10 @@
 	maxConflictsNamed = 10  // maxConflictsNamed is how many accepted notes a conflict names.
 )
 
-// faults collects everything that is wrong with one note.
+// faults collects everything that is wrong with one note, a line each.
 type faults struct {
-	list []error
-	more int
+	lines []string
+	more  int
 }
 
 // add records a fault when bad is true.
@@ -25,20 +24,24 @@
 	if !bad {
 		return
 	}
-	if len(f.list) == maxFaults {
+	if len(f.lines) == maxFaults {
 		f.more++
 		return
 	}
-	f.list = append(f.list, wqfault.New(wqfault.BadInput, message, remedy))
+	f.lines = append(f.lines, message+": "+remedy)
 }
 
 // join returns all faults as one error, or nil.
 func (f *faults) join() error {
+	if len(f.lines) == 0 {
+		return nil
+	}
+	lines := f.lines
 	if f.more > 0 {
-		message := fmt.Sprintf("%d more faults are not listed", f.more)
-		f.list = append(f.list, wqfault.New(wqfault.BadInput, message, "mend those listed and check the note again"))
+		lines = append(lines, fmt.Sprintf("%d more faults are not listed", f.more))
 	}
-	return errors.Join(f.list...)
+	message := fmt.Sprintf("the release note has %d faults:\n  %s\n", len(f.lines)+f.more, strings.Join(lines, "\n  "))
+	return wqfault.New(wqfault.BadInput, message, "nothing was accepted; correct them all and publish the note again")
 }
 
 // checkBase refuses a note whose id or base revision clashes with what was
--- a/core/wqnote/note_test.go
+++ b/core/wqnote/note_test.go
@@ -137,7 +137,8 @@
 	}
 	_, err := wqnote.Apply(n, &wqtopology.Topology{})
 	must.StrContains(t, err.Error(), "100 more faults are not listed")
-	must.Eq(t, 101, strings.Count(err.Error(), "bad_input"))
+	must.StrContains(t, err.Error(), "has 200 faults")
+	must.Eq(t, 100, strings.Count(err.Error(), "is withdrawn but does not exist: correct its name"))
 }
 
 // Any sequence of valid notes gives the same topology on every VM, never
--- /dev/null
+++ b/io/wqfollow/follow.go
@@ -0,0 +1,90 @@
+// Package wqfollow does for a wqconfig.Machine what it asks for: calls to the
+// store and to peers. It also answers the peers' calls.
+//
+// # Usage
+//
+//	f := &wqfollow.Follower[*wqstore.Client, *wqdial.Pool]{Head: head, Peers: pool, FetchTimeout: time.Second, Log: log}
+//	go func() { loop.Post(ctx, f.Do(ctx, action)) }()
+//	response, err := wqfollow.Answer(history, request)
+//
+// Do blocks, so call it on a goroutine of its own for each action.
+package wqfollow
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqhistory"
+	"wisteriaquay/io/wqdocument"
+	"wisteriaquay/io/wqhead"
+	"wisteriaquay/io/wqpb"
+)
+
+// Peers gives the client of the VM at an address.
+type Peers interface {
+	PeerClient(address string) wqpb.PeerService
+}
+
+// Follower carries out actions. It is safe for concurrent use.
+type Follower[S wqhead.Store, P Peers] struct {
+	Head         *wqhead.Head[S]
+	Peers        P
+	FetchTimeout time.Duration // FetchTimeout bounds one call to a peer.
+	Log          *slog.Logger
+}
+
+// Do carries out an action and returns the event that it ends in, nil for an
+// Announce, which membership spreads.
+func (f *Follower[S, P]) Do(ctx context.Context, a wqconfig.Action) wqconfig.Event {
+	switch a := a.(type) {
+	case wqconfig.Fetch:
+		return f.fetch(ctx, a)
+	case wqconfig.ReadStore:
+		return f.readStore(ctx, a)
+	case wqconfig.WatchStore:
+		return f.storeEvent(f.Head.Watch(ctx, a.After, a.Wait))
+	}
+	return nil
+}
+
+func (f *Follower[S, P]) fetch(ctx context.Context, a wqconfig.Fetch) wqconfig.Event {
+	ctx, cancel := context.WithTimeout(ctx, f.FetchTimeout)
+	defer cancel()
+	r, err := f.Peers.PeerClient(a.Peer.Address).Configuration(ctx, &wqpb.ConfigurationRequest{Revision: a.Revision})
+	if err != nil {
+		f.Log.Warn("a peer did not send its configuration", "peer", a.Peer.ID, "error", err)
+		return wqconfig.FetchFailed{Peer: a.Peer.ID}
+	}
+	u, err := wqdocument.DecodeUpdate(wqdocument.Update{Revision: r.GetRevision(), Notes: r.GetNotes(), Whole: r.GetTopology()})
+	if err != nil {
+		f.Log.Error("a peer's configuration can't be read; check the versions of the VMs", "peer", a.Peer.ID, "error", err)
+		return wqconfig.FetchFailed{Peer: a.Peer.ID}
+	}
+	return wqconfig.Fetched{Peer: a.Peer.ID, Update: u}
+}
+
+func (f *Follower[S, P]) readStore(ctx context.Context, a wqconfig.ReadStore) wqconfig.Event {
+	if a.Confirm {
+		return f.storeEvent(f.Head.Confirm(ctx))
+	}
+	return f.storeEvent(f.Head.Read(ctx))
+}
+
+func (f *Follower[S, P]) storeEvent(v wqhead.Value, err error) wqconfig.Event {
+	if err != nil {
+		f.Log.Warn("the configuration store can't be read", "error", err)
+		return wqconfig.StoreFailed{}
+	}
+	return wqconfig.StoreAnswered(v)
+}
+
+// Answer returns what a peer that asks does not have yet.
+func Answer(h *wqhistory.History, r *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	u, err := wqdocument.EncodeUpdate(h.Since(r.GetRevision()))
+	if err != nil {
+		return nil, err
+	}
+	return &wqpb.ConfigurationResponse{Revision: u.Revision, Notes: u.Notes, Topology: u.Whole}, nil
+}
