Let peers spread the configuration and operators publish

Cause: every VM read the store each second, which grows with the fleet. Change: the control loop owns the configuration machine; two VMs of each zone watch the store, the others fetch from peers; the operator service is served.

--- a/cmd/wisteriaquay/serve.go
+++ b/cmd/wisteriaquay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 
 	"wisteriaquay/io/wqlog"
 	"wisteriaquay/io/wqnode"
@@ -10,9 +11,8 @@
 
 // serve runs an entry VM until ctx ends.
 func serve(ctx context.Context, c console, s *wqsetting.Settings) error {
-	n := &wqnode.Node{
-		Settings: s,
-		Log:      wqlog.New(c.Err, s.Identity.ID, s.Limits.LogPerSecond),
-	}
+	log := wqlog.New(c.Err, s.Identity.ID, s.Limits.LogPerSecond)
+	slog.SetDefault(log)
+	n := &wqnode.Node{Settings: s, Log: log}
 	return n.Run(ctx)
 }
--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -20,7 +20,9 @@
 	"math/rand/v2"
 	"time"
 
+	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqhealth"
+	"wisteriaquay/core/wqhistory"
 	"wisteriaquay/core/wqhold"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqtopology"
@@ -33,6 +35,8 @@
 	MaxHolders int // MaxHolders is the most VMs that hold one searcher.
 	Timing     wqmember.Timing
 	Random     *rand.Rand
+	// WatchersPerZone is how many VMs of an availability zone watch the store.
+	WatchersPerZone int
 	// BalancerLag is how long callers still arrive after the readiness check
 	// fails.
 	BalancerLag time.Duration
@@ -42,24 +46,27 @@
 type Control struct {
 	settings  Settings
 	members   wqmember.Machine
+	config    wqconfig.Machine[wqconfig.PerZone]
 	table     wqhold.Table
 	health    *wqhealth.Machine
 	index     *wqtopology.Index
-	refusing  bool // refusing is true once a graceful stop takes no new requests.
 	freshness freshness
+	refusing  bool      // refusing is true once a graceful stop takes no new requests.
 	outAt     time.Time // outAt is when this VM learned that its availability zone is out; zero while it is in.
 
-	version uint64 // version is the member version that the caches below show.
+	version uint64            // version is the member version that all and known show.
+	all     []wqmember.Member // all are the VMs that are remembered.
 	known   map[string]wqmember.Member
 	holders map[string][]wqview.Holder
-	cut     bool // cut is true when the caches show this VM isolated.
-	dirty   bool // dirty is true when the holders must be computed anew.
+	cut     bool // cut is true when the holders follow from this VM being isolated.
+	stale   bool // stale is true when the holders must be computed anew.
 }
 
 // Output is what the owner of a Control has to do next.
 type Output struct {
-	Sends []wqmember.Send  // Sends are heartbeats to deliver.
-	Reply wqmember.Message // Reply answers a HeartbeatSeen.
+	Sends   []wqmember.Send   // Sends are heartbeats to deliver.
+	Actions []wqconfig.Action // Actions are calls to the store and to peers; each ends in a ConfigurationSeen.
+	Reply   wqmember.Message  // Reply answers a HeartbeatSeen.
 }
 
 // New returns the control state of a VM that has just started.
@@ -70,9 +77,15 @@
 		members:  wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
 		table:    wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
 		index:    wqtopology.NewIndex(&wqtopology.Topology{}),
-		dirty:    true,
+	}
+	c.config = wqconfig.Machine[wqconfig.PerZone]{
+		Self:   s.Self,
+		Policy: wqconfig.PerZone{Count: s.WatchersPerZone},
+		Timing: wqconfig.DefaultTiming(),
+		Random: s.Random,
 	}
 	c.members.Start(now)
+	c.config.Start(now)
 	return c
 }
 
@@ -88,8 +101,8 @@
 		c.freshness.Confirm(e.SentAt)
 	case HeartbeatFailed:
 		c.members.Failed(now, e.ID)
-	case TopologySeen:
-		c.seeTopology(now, e.Topology)
+	case ConfigurationSeen:
+		c.config.Handle(now, e.Event)
 	case TargetSeen:
 		c.health.Observe(e.Report)
 	case LeaveAsked:
@@ -105,26 +118,32 @@
 // Tick does what is due by time.
 func (c *Control) Tick(now time.Time) Output {
 	c.health.Advance(now)
-	return Output{Sends: c.members.Tick(now)}
+	c.refreshMembers(now)
+	actions := c.config.Tick(now)
+	if h := c.config.History(); h.Revision() > c.index.Topology.Revision {
+		c.adopt(now, h)
+	}
+	return Output{Sends: c.members.Tick(now), Actions: actions}
 }
 
 // Next returns when Tick is due at the latest.
 func (c *Control) Next() time.Time {
 	next := c.members.Next()
+	if t := c.config.Next(); t.Before(next) {
+		next = t
+	}
 	if t := c.table.Next(); !t.IsZero() && t.Before(next) {
-		return t
+		next = t
 	}
 	return next
 }
 
-func (c *Control) seeTopology(now time.Time, t *wqtopology.Topology) {
-	if t.Revision <= c.index.Topology.Revision {
-		return
-	}
-	c.index = wqtopology.NewIndex(t)
-	c.members.SetRevision(now, t.Revision)
+// adopt puts a configuration in force.
+func (c *Control) adopt(now time.Time, h *wqhistory.History) {
+	c.index = wqtopology.NewIndex(h.Topology)
+	c.members.SetRevision(now, h.Revision())
 	c.health.Keep(func(id string) bool { return c.index.Searcher(id) != nil })
-	c.dirty = true
+	c.stale = true
 	switch {
 	case !c.index.ZoneOut(c.members.Self.Zone):
 		c.outAt = time.Time{}
@@ -141,16 +160,20 @@
 
 // View returns the state for the traffic goroutines.
 func (c *Control) View(now time.Time) *wqview.View {
-	c.refresh(now)
+	c.refreshMembers(now)
+	c.refreshHolders(now)
 	return &wqview.View{
 		Self:     c.members.Self,
 		Index:    c.index,
+		History:  c.config.History(),
 		Members:  c.known,
 		Holders:  c.holders,
 		FreshAt:  c.freshness.At(now, c.alone(), c.behind()),
 		Targets:  c.health.States(),
 		Stopping: c.stopping(now),
 		Isolated: c.members.Isolated(),
+
+		StoreReachable: c.config.StoreReachable(),
 	}
 }
 
@@ -168,29 +191,38 @@
 	return false
 }
 
-// refresh computes members and holders anew when something they follow from has
-// changed.
-func (c *Control) refresh(now time.Time) {
-	next := c.table.Next()
-	due := !next.IsZero() && !now.Before(next)
-	if !c.dirty && !due && c.version == c.members.Version() && c.cut == c.members.Isolated() {
+// refreshMembers takes over the members when they have changed.
+func (c *Control) refreshMembers(now time.Time) {
+	if c.known != nil && c.version == c.members.Version() {
 		return
 	}
-	c.cut = c.members.Isolated()
 	c.version = c.members.Version()
-	c.dirty = false
-	all := c.members.Members()
-	c.known = make(map[string]wqmember.Member, len(all))
-	for _, m := range all {
+	c.all = c.members.Members()
+	c.known = make(map[string]wqmember.Member, len(c.all))
+	for _, m := range c.all {
 		if m.State.Live() {
 			c.known[m.ID] = m
 		}
 	}
+	c.config.SetMembers(now, c.all)
+	c.stale = true
+}
+
+// refreshHolders computes the holders anew when something they follow from has
+// changed.
+func (c *Control) refreshHolders(now time.Time) {
+	next := c.table.Next()
+	due := !next.IsZero() && !now.Before(next)
+	if !c.stale && !due && c.cut == c.members.Isolated() {
+		return
+	}
+	c.cut = c.members.Isolated()
+	c.stale = false
 	c.holders = c.table.Update(now, wqhold.Input{
 		Self:     c.eligible(c.members.Self),
-		Members:  c.eligibleAll(all),
+		Members:  c.eligibleAll(c.all),
 		Index:    c.index,
-		Isolated: c.members.Isolated(),
+		Isolated: c.cut,
 		NewFleet: c.members.NewFleet(),
 	})
 }
--- a/core/wqcontrol/control_test.go
+++ b/core/wqcontrol/control_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqhistory"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqtopology"
 )
@@ -23,27 +25,31 @@
 	}, now)
 }
 
-func topology(revision uint64, out bool) *wqtopology.Topology {
-	return &wqtopology.Topology{Revision: revision, Zones: []wqtopology.Zone{{ID: "a", Region: "r", Out: out}, {ID: "b", Region: "r"}}}
+// see puts a configuration in force as if this VM's own swap had made it.
+func see(c *Control, now time.Time, revision uint64, out bool) {
+	zones := []wqtopology.Zone{{ID: "a", Region: "r", Out: out}, {ID: "b", Region: "r"}}
+	h := &wqhistory.History{Topology: &wqtopology.Topology{Revision: revision, Zones: zones}}
+	c.Handle(now, ConfigurationSeen{Event: wqconfig.Accepted{History: h, StoreRevision: revision}})
+	c.Tick(now)
 }
 
 func TestOwnZoneOutRefusesAfterTheBalancersLag(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := newControl(now)
-	c.Handle(now, TopologySeen{Topology: topology(1, false)})
+	see(c, now, 1, false)
 	must.False(t, c.View(now).Stopping)
-	c.Handle(now, TopologySeen{Topology: topology(2, true)})
+	see(c, now, 2, true)
 	must.False(t, c.View(now.Add(lag-1)).Stopping, must.Sprint("callers still arrive"))
 	must.True(t, c.View(now.Add(lag)).Stopping)
-	c.Handle(now, TopologySeen{Topology: topology(3, false)})
+	see(c, now, 3, false)
 	must.False(t, c.View(now.Add(lag)).Stopping, must.Sprint("the zone is back"))
 }
 
 func TestRevisionsNeverRevert(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := newControl(now)
-	c.Handle(now, TopologySeen{Topology: topology(5, true)})
-	c.Handle(now, TopologySeen{Topology: topology(4, false)})
+	see(c, now, 5, true)
+	see(c, now, 4, false)
 	must.Eq(t, 5, c.View(now).Index.Topology.Revision)
 	must.Eq(t, 5, c.View(now).Self.Revision)
 }
@@ -51,7 +57,7 @@
 func TestGracefulStopTellsPeersThenRefuses(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := newControl(now)
-	c.Handle(now, TopologySeen{Topology: topology(1, false)})
+	see(c, now, 1, false)
 	c.Handle(now, LeaveAsked{})
 	v := c.View(now)
 	must.Eq(t, wqmember.Leaving, v.Self.State)
--- a/core/wqcontrol/event.go
+++ b/core/wqcontrol/event.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqreport"
-	"wisteriaquay/core/wqtopology"
 )
 
 // Event is what a Control takes in.
@@ -27,8 +27,9 @@
 // HeartbeatFailed names a VM that did not answer in time.
 type HeartbeatFailed struct{ ID string }
 
-// TopologySeen carries a configuration found in the store or at a peer.
-type TopologySeen struct{ Topology *wqtopology.Topology }
+// ConfigurationSeen carries what the store, a peer or an operator told of the
+// configuration.
+type ConfigurationSeen struct{ Event wqconfig.Event }
 
 // TargetSeen carries one observation of a searcher.
 type TargetSeen struct{ Report wqreport.Target }
@@ -46,7 +47,7 @@
 func (HeartbeatSeen) event()     {}
 func (HeartbeatAnswered) event() {}
 func (HeartbeatFailed) event()   {}
-func (TopologySeen) event()      {}
+func (ConfigurationSeen) event() {}
 func (TargetSeen) event()        {}
 func (LeaveAsked) event()        {}
 func (RefuseAsked) event()       {}
--- a/core/wqview/view.go
+++ b/core/wqview/view.go
@@ -14,21 +14,24 @@
 import (
 	"time"
 
+	"wisteriaquay/core/wqhistory"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqtopology"
 )
 
 // View is one consistent picture of the control state.
 type View struct {
-	Self      wqmember.Member
-	Index     *wqtopology.Index
-	Members   map[string]wqmember.Member // Members are the VMs that may be sent work, by id, this one included.
-	Holders   map[string][]Holder        // Holders are the VMs that may open connections to a searcher, by searcher id, best first.
-	Targets   map[string]Target          // Targets holds what is known of a searcher beyond the topology, by id; absent means nothing.
-	Snapshots map[string]uint64          // Snapshots is the newest snapshot seen whole of a service, by name; absent means unknown.
-	FreshAt   time.Time                  // FreshAt is when the control state was last confirmed by a peer or the store.
-	Stopping  bool                       // Stopping is true while new requests are refused: late in a graceful stop, or with this VM's zone out.
-	Isolated  bool                       // Isolated is true while too few peers answer to use the shares held.
+	Self           wqmember.Member
+	Index          *wqtopology.Index
+	Members        map[string]wqmember.Member // Members are the VMs that may be sent work, by id, this one included.
+	Holders        map[string][]Holder        // Holders are the VMs that may open connections to a searcher, by searcher id, best first.
+	Targets        map[string]Target          // Targets holds what is known of a searcher beyond the topology, by id; absent means nothing.
+	Snapshots      map[string]uint64          // Snapshots is the newest snapshot seen whole of a service, by name; absent means unknown.
+	FreshAt        time.Time                  // FreshAt is when the control state was last confirmed by a peer or the store.
+	Stopping       bool                       // Stopping is true while new requests are refused: late in a graceful stop, or with this VM's zone out.
+	History        *wqhistory.History         // History is the configuration in force with the latest notes; nil for none.
+	Isolated       bool                       // Isolated is true while too few peers answer to use the shares held.
+	StoreReachable bool                       // StoreReachable is true when the latest call to the store was answered.
 }
 
 // Holder is a VM's right to use a share of a searcher.
--- a/io/wqnode/control.go
+++ b/io/wqnode/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqcontrol"
 	"wisteriaquay/core/wqfault"
 	"wisteriaquay/core/wqmember"
@@ -31,7 +32,9 @@
 
 // settle does what is due, publishes the view and returns when it is due again.
 func (n *Node) settle(now time.Time) time.Time {
-	n.deliver(n.control.Tick(now).Sends)
+	out := n.control.Tick(now)
+	n.deliver(out.Sends)
+	n.follow(out.Actions)
 	n.view.Store(n.control.View(now))
 	latest := now.Add(longestSleep)
 	if next := n.control.Next(); next.Before(latest) {
@@ -66,6 +69,26 @@
 	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{ID: s.To.ID, SentAt: sentAt, Reply: decoded}})
 }
 
+// follow carries out what the configuration asks for, each action on a
+// goroutine of its own.
+func (n *Node) follow(actions []wqconfig.Action) {
+	for _, a := range actions {
+		go n.act(a)
+	}
+}
+
+// carryOut does one action and reports back how it ended.
+func (n *Node) carryOut(ctx context.Context, a wqconfig.Action) {
+	if e := n.follower.Do(ctx, a); e != nil {
+		n.loop.Post(ctx, message{event: wqcontrol.ConfigurationSeen{Event: e}})
+	}
+}
+
+// submit hands a configuration that this VM's own swap made to the control loop.
+func (n *Node) submit(ctx context.Context, e wqconfig.Event) bool {
+	return n.loop.Post(ctx, message{event: wqcontrol.ConfigurationSeen{Event: e}})
+}
+
 // receive hands a peer's heartbeat to the control loop and waits for the reply.
 func (n *Node) receive(ctx context.Context, m *wqpb.HeartbeatMessage) (*wqpb.HeartbeatMessage, error) {
 	decoded, err := wqheartbeat.Decode(m)
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -22,6 +22,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriaquay/core/wqcandidate"
+	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqcontrol"
 	"wisteriaquay/core/wqhedge"
 	"wisteriaquay/core/wqlimit"
@@ -33,10 +34,13 @@
 	"wisteriaquay/io/wqdial"
 	"wisteriaquay/io/wqdispatch"
 	"wisteriaquay/io/wqentry"
+	"wisteriaquay/io/wqfollow"
+	"wisteriaquay/io/wqhead"
 	"wisteriaquay/io/wqholder"
 	"wisteriaquay/io/wqkeys"
 	"wisteriaquay/io/wqloop"
 	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqoperator"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
 	"wisteriaquay/io/wqsetting"
@@ -48,8 +52,10 @@
 )
 
 const (
-	inboxSize = 4096                    // inboxSize bounds the events that wait for the control loop.
-	freshFor  = 2500 * time.Millisecond // freshFor is the age of a view above which this VM sends nothing to searchers.
+	inboxSize       = 4096                    // inboxSize bounds the events that wait for the control loop.
+	watchersPerZone = 2                       // watchersPerZone is how many VMs of an availability zone watch the store.
+	fetchTimeout    = time.Second             // fetchTimeout bounds a peer's answer with its configuration.
+	freshFor        = 2500 * time.Millisecond // freshFor is the age of a view above which this VM sends nothing to searchers.
 )
 
 // Node is one VM. Set the exported fields before Run.
@@ -61,20 +67,22 @@
 	requests atomic.Int64 // requests are callers' calls in progress.
 	sends    atomic.Int64 // sends are peers' calls in progress.
 
-	delivering sync.WaitGroup // delivering are the heartbeats on their way.
-
-	loop    *wqloop.Loop[message]
-	control *wqcontrol.Control
-	timing  wqmember.Timing
-	metrics *wqmetric.Metrics
-	keys    *wqkeys.Keys
-	pool    *wqdial.Pool
-	store   *wqstore.Client
-	list    *wqvmlist.Client
-	holder  *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
-	gate    *wqdispatch.Gate
-	writer  *wqwrite.Writer[wqcandidate.NearFirst]
-	entry   *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
+	act        func(wqconfig.Action) // act carries out one action of the configuration and returns when it has ended.
+	delivering sync.WaitGroup        // delivering are the heartbeats on their way.
+
+	loop     *wqloop.Loop[message]
+	control  *wqcontrol.Control
+	timing   wqmember.Timing
+	metrics  *wqmetric.Metrics
+	keys     *wqkeys.Keys
+	pool     *wqdial.Pool
+	head     *wqhead.Head[*wqstore.Client]
+	follower *wqfollow.Follower[*wqstore.Client, *wqdial.Pool]
+	list     *wqvmlist.Client
+	holder   *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
+	gate     *wqdispatch.Gate
+	writer   *wqwrite.Writer[wqcandidate.NearFirst]
+	entry    *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
 }
 
 // Run starts the VM and returns when it has stopped.
@@ -120,17 +128,20 @@
 		Timing:     n.timing,
 		Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 
-		BalancerLag: n.Settings.Limits.BalancerLag,
+		WatchersPerZone: watchersPerZone,
+		BalancerLag:     n.Settings.Limits.BalancerLag,
 	}, now)
 	n.view.Store(n.control.View(now))
 	n.loop = wqloop.New[message](inboxSize)
 	n.loop.Handle = n.handle
 	n.loop.Settle = n.settle
 	platform := &n.Settings.Platform
-	n.store = &wqstore.Client{Address: platform.Store, Timeout: platform.StoreTimeout, HTTP: http.DefaultClient}
+	store := &wqstore.Client{Address: platform.Store, Timeout: platform.StoreTimeout, HTTP: http.DefaultClient}
+	n.head = &wqhead.Head[*wqstore.Client]{Store: store}
 	n.list = &wqvmlist.Client{Address: platform.VMList, Timeout: platform.VMListTimeout, HTTP: http.DefaultClient}
 	pool, releasePool := wqdial.New(wqdial.Settings{TLS: n.keys.PeerDial()})
 	n.pool = pool
+	n.follower = &wqfollow.Follower[*wqstore.Client, *wqdial.Pool]{Head: n.head, Peers: pool, FetchTimeout: fetchTimeout, Log: n.Log}
 	releaseHolder := n.buildHolder()
 	n.buildWriter(self)
 	n.buildEntry()
@@ -206,6 +217,14 @@
 
 func (n *Node) callerHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.Handle(wqpbconnect.NewOperatorServiceHandler(&wqoperator.Operator[*wqstore.Client, *wqdial.Pool]{
+		Head:           n.head,
+		Peers:          n.pool,
+		View:           n.view.Load,
+		Submit:         n.submit,
+		Check:          n.keys.CheckOperator,
+		StoreReachable: func() bool { return n.view.Load().StoreReachable },
+	}))
 	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: n.entry, Writes: n.writer, Metrics: n.metrics}))
 	return wqstop.LastAnswers(counted(&n.requests, mux), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
 }
@@ -225,9 +244,9 @@
 			return nil
 		})
 	}
+	n.act = func(a wqconfig.Action) { n.carryOut(ctx, a) }
 	run(n.loop.Run)
 	run(n.holder.Run)
 	run(n.readList)
-	run(n.readStore)
 	run(func(ctx context.Context) { n.keys.Run(ctx, nil) })
 }
--- a/io/wqnode/peer.go
+++ b/io/wqnode/peer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"wisteriaquay/core/wqfault"
+	"wisteriaquay/io/wqfollow"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqtwirp"
 )
@@ -20,8 +20,9 @@
 }
 
 // Configuration returns what this VM has after a revision.
-func (p *peerService) Configuration(context.Context, *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
-	return nil, wqtwirp.Encode(wqfault.New(wqfault.NotReady, "no configuration yet", "ask another VM"))
+func (p *peerService) Configuration(_ context.Context, r *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	m, err := wqfollow.Answer(p.node.view.Load().History, r)
+	return m, wqtwirp.Encode(err)
 }
 
 // ForwardWrite runs a write-like request whose ticket this VM minted.
