Judge a share's use by wqhold.Usable; free a connection late

Under the race detector a searcher with 5 connections for three holders saw 6 at once: a holder dialled again before the searcher had noticed the close. Change: dispatch checks wqhold.Usable, the upkeep closes connections of shares that may not be used, and a closed connection returns to the share after 100 ms. Conclusion: connections stay within the share as the searcher counts them.

--- a/io/wqholder/dispatch.go
+++ b/io/wqholder/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wisteriaquay/core/wqhold"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqtarget"
@@ -32,18 +33,16 @@
 // check returns why nothing may be sent to a searcher now, or Answered when it
 // may.
 func (h *Holder[C, P]) check(v *wqview.View, searcherID string, now time.Time) wqreport.Status {
-	if v == nil || v.Index == nil || v.Isolated {
-		return wqreport.NotRun
-	}
-	if h.FreshFor > 0 && now.Sub(v.FreshAt) > h.FreshFor {
+	if v == nil || v.Index == nil {
 		return wqreport.NotRun
 	}
 	s := v.Index.Searcher(searcherID)
-	if s == nil {
+	share, held := v.Share(searcherID)
+	if s == nil || !held {
 		return wqreport.NotHeld
 	}
-	if _, held := v.Share(searcherID); !held {
-		return wqreport.NotHeld
+	if !wqhold.Usable(v, share, now) {
+		return wqreport.NotRun
 	}
 	if v.Index.ZoneOut(s.Zone) || v.Index.ZoneOut(v.Self.Zone) {
 		return wqreport.ZoneOut
--- a/io/wqholder/holder.go
+++ b/io/wqholder/holder.go
@@ -55,7 +55,6 @@
 	View        func() *wqview.View   // View returns the control state of this moment.
 	Report      func(wqreport.Target) // Report takes what was observed; it must not block.
 	QueueLength int                   // QueueLength bounds the jobs that wait for one searcher.
-	FreshFor    time.Duration         // FreshFor is the age of a view above which nothing is sent; 0 sets no bound.
 	ProbeEvery  time.Duration         // ProbeEvery spaces the health probes of one searcher.
 	Batch       int                   // Batch bounds the sub-queries of one request under the searcher's own bound; 0 sets no bound.
 
@@ -85,6 +84,18 @@
 	}
 }
 
+// Queued returns how many sub-queries and write-like requests wait for a
+// searcher on this VM.
+func (h *Holder[C, P]) Queued(searcherID string) int {
+	l := h.find(searcherID)
+	if l == nil {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Queued()
+}
+
 // lane returns the lane of a searcher that this VM holds, or nil.
 func (h *Holder[C, P]) lane(v *wqview.View, s *wqtopology.Searcher) *lane[P] {
 	share, held := v.Share(s.ID)
--- a/io/wqholder/holder_test.go
+++ b/io/wqholder/holder_test.go
@@ -41,7 +41,10 @@
 // viewOf gives VM vm-1 all of so many searchers.
 func viewOf(searchers int) *wqview.View {
 	t := &wqtopology.Topology{Revision: 1, Zones: []wqtopology.Zone{{ID: "a"}}}
-	v := &wqview.View{Self: wqmember.Member{ID: "vm-1", Zone: "a"}, Holders: make(map[string][]wqview.Holder)}
+	v := &wqview.View{
+		Self: wqmember.Member{ID: "vm-1", Zone: "a"}, FreshAt: time.Now().Add(time.Hour),
+		Holders: make(map[string][]wqview.Holder),
+	}
 	for i := range searchers {
 		id := fmt.Sprintf("s-%04d", i)
 		t.Searchers = append(t.Searchers, wqtopology.Searcher{ID: id, Zone: "a", Service: "bench", Shard: fmt.Sprintf("b%04d", i), Slots: 3, Connections: 30, Batch: 8})
--- a/io/wqholder/keep.go
+++ b/io/wqholder/keep.go
@@ -41,8 +41,7 @@
 	var probes sync.WaitGroup
 	for i := range v.Index.Topology.Searchers {
 		s := &v.Index.Topology.Searchers[i]
-		status := h.check(v, s.ID, time.Now())
-		if status != wqreport.Answered && status != wqreport.Draining {
+		if !h.keeps(v, s) {
 			continue
 		}
 		places <- struct{}{}
@@ -55,6 +54,21 @@
 	h.forget(v)
 }
 
+// keeps reports whether connections to a searcher may be kept. They close when
+// the share may not be used, since other VMs may use it then.
+func (h *Holder[C, P]) keeps(v *wqview.View, s *wqtopology.Searcher) bool {
+	switch h.check(v, s.ID, time.Now()) {
+	case wqreport.Answered, wqreport.Draining:
+		return true
+	case wqreport.NotRun:
+		if l := h.find(s.ID); l != nil {
+			l.unset()
+			h.Client.Limit(s, 0)
+		}
+	}
+	return false
+}
+
 // tend probes a held searcher, over as many connections as lack.
 func (h *Holder[C, P]) tend(ctx context.Context, v *wqview.View, s *wqtopology.Searcher) {
 	l := h.lane(v, s)
--- a/io/wqholder/lane.go
+++ b/io/wqholder/lane.go
@@ -24,6 +24,7 @@
 	timer    *time.Timer // timer wakes the lane to refuse queued tasks in time.
 	expire   func()
 	reported wqreport.Target
+	stale    bool // stale makes the next share count as changed.
 	warmed   bool // warmed is true once the connections of the share were opened.
 }
 
@@ -43,6 +44,13 @@
 	return min(l.share.Slots, l.share.Connections)
 }
 
+// unset makes the next setShare count as a change.
+func (l *lane[P]) unset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stale = true
+}
+
 func (l *lane[P]) hint(now time.Time, incarnation string, cold bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -53,11 +61,11 @@
 func (l *lane[P]) setShare(s *wqtopology.Searcher, share wqview.Holder, batch int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.searcher == s && l.share == share && l.batch == batch {
+	if !l.stale && l.searcher == s && l.share == share && l.batch == batch {
 		return false
 	}
 	l.searcher, l.share, l.batch = s, share, batch
-	l.warmed = false
+	l.warmed, l.stale = false, false
 	slots := min(share.Slots, share.Connections)
 	l.state.SetShare(slots, share.ColdSlots, time.Duration(s.WarmMillis)*time.Millisecond, batch)
 	return true
--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -89,6 +89,6 @@
 		return net.ErrClosed
 	}
 	err := c.Conn.Close()
-	c.link.release()
+	c.link.closed()
 	return err
 }
--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -11,6 +11,9 @@
 	"wisteriaquay/core/wqtopology"
 )
 
+// closeLag is how long a searcher may take to notice that a connection closed.
+const closeLag = 100 * time.Millisecond
+
 // link owns the connections to one searcher.
 type link struct {
 	transport *http.Transport
@@ -20,7 +23,8 @@
 
 	mu    sync.Mutex
 	limit int
-	open  int
+	open  int           // open counts the connections that the searcher may count.
+	live  int           // live counts those that are not closed on this side.
 	freed chan struct{} // freed is closed and replaced when a connection closes or the limit changes.
 }
 
@@ -50,7 +54,7 @@
 	l.mu.Lock()
 	changed := l.limit != n
 	l.limit = n
-	over := l.open > n
+	over := l.live > n
 	if changed {
 		l.wake()
 	}
@@ -63,7 +67,7 @@
 // trim closes idle connections when more are open than the share allows.
 func (l *link) trim() {
 	l.mu.Lock()
-	over := l.open > l.limit
+	over := l.live > l.limit
 	l.mu.Unlock()
 	if over {
 		l.transport.CloseIdleConnections()
@@ -84,6 +88,9 @@
 		l.release()
 		return nil, err
 	}
+	l.mu.Lock()
+	l.live++
+	l.mu.Unlock()
 	return &connection{Conn: raw, link: l}, nil
 }
 
@@ -108,14 +115,23 @@
 	}
 }
 
-// release returns a connection to the share. Without any connection left, a
-// restart of the searcher would go unnoticed, so it counts as lost.
+// release returns a connection to the share.
 func (l *link) release() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.open--
-	last := l.open == 0
 	l.wake()
+}
+
+// closed returns a closed connection to the share once the searcher has had
+// time to notice. Without any connection left, a restart of the searcher would
+// go unnoticed, so that counts as a lost one.
+func (l *link) closed() {
+	l.mu.Lock()
+	l.live--
+	last := l.live == 0
 	l.mu.Unlock()
+	time.AfterFunc(closeLag, l.release)
 	if last {
 		l.lost()
 	}
--- a/test/wqsearcher/cold_test.go
+++ b/test/wqsearcher/cold_test.go
@@ -26,7 +26,10 @@
 	}
 	holders := make([]*holder, count)
 	for i, m := range members {
-		v := &wqview.View{Self: m, Index: wqtopology.NewIndex(&f.topology), Holders: make(map[string][]wqview.Holder)}
+		v := &wqview.View{
+			Self: m, Index: wqtopology.NewIndex(&f.topology), FreshAt: time.Now().Add(time.Hour),
+			Holders: make(map[string][]wqview.Holder),
+		}
 		for j := range f.topology.Searchers {
 			s := &f.topology.Searchers[j]
 			v.Holders[s.ID] = wqhold.Assign(members, s, wqhold.Limits{MaxHolders: count})
--- a/test/wqsearcher/holder_test.go
+++ b/test/wqsearcher/holder_test.go
@@ -66,6 +66,7 @@
 	share.MemberID = id
 	v := &wqview.View{
 		Self:    wqmember.Member{ID: id, Zone: "a"},
+		FreshAt: time.Now().Add(time.Hour),
 		Index:   wqtopology.NewIndex(&f.topology),
 		Holders: make(map[string][]wqview.Holder),
 	}
