Let a share rest once its view is 2.5 s old

Cause: FreshFor was 3 s, the whole bound for a zone that is taken out, so that a cut-off VM whose last confirmation came just before the acceptance could send until the bound itself. Change: 2.5 s; the node's own copy of the rule is gone, wqhold.Usable has it.

--- a/core/wqhold/hold.go
+++ b/core/wqhold/hold.go
@@ -38,8 +38,9 @@
 )
 
 // FreshFor is how long a share may be used after the view was last confirmed
-// by a peer. It must be well below the handover time.
-const FreshFor = 3 * time.Second
+// by a peer. It must be well below the handover time, and below the 3 s after
+// which an availability zone that was taken out receives nothing.
+const FreshFor = 2500 * time.Millisecond
 
 // Limits bounds an assignment.
 type Limits struct {
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -52,10 +52,9 @@
 )
 
 const (
-	inboxSize       = 4096                    // inboxSize bounds the events that wait for the control loop.
-	watchersPerZone = 2                       // watchersPerZone is how many VMs of an availability zone watch the store.
-	fetchTimeout    = time.Second             // fetchTimeout bounds a peer's answer with its configuration.
-	freshFor        = 2500 * time.Millisecond // freshFor is the age of a view above which this VM sends nothing to searchers.
+	inboxSize       = 4096        // inboxSize bounds the events that wait for the control loop.
+	watchersPerZone = 2           // watchersPerZone is how many VMs of an availability zone watch the store.
+	fetchTimeout    = time.Second // fetchTimeout bounds a peer's answer with its configuration.
 )
 
 // Node is one VM. Set the exported fields before Run.
@@ -165,7 +164,6 @@
 	holder, releaseHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
 	client.Lost = holder.Suspect
 	holder.View = n.view.Load
-	holder.FreshFor = freshFor
 	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
 	return func() {
