Call a VM ready once it may use its own shares

Cause: on a load of 49 queries/s against 8 VMs that had just started, /readyz said ready while shares rested for the handover time: 0.0% whole answers and 10% coverage. Before the first configuration all VMs counted as leaving, too. Change: /readyz waits for the VM's own shares; without a configuration no zone counts as out.

--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -54,12 +54,13 @@
 	refusing  bool      // refusing is true once a graceful stop takes no new requests.
 	outAt     time.Time // outAt is when this VM learned that its availability zone is out; zero while it is in.
 
-	version uint64            // version is the member version that all and known show.
-	all     []wqmember.Member // all are the VMs that are remembered.
-	known   map[string]wqmember.Member
-	holders map[string][]wqview.Holder
-	cut     bool // cut is true when the holders follow from this VM being isolated.
-	stale   bool // stale is true when the holders must be computed anew.
+	version    uint64            // version is the member version that all and known show.
+	all        []wqmember.Member // all are the VMs that are remembered.
+	known      map[string]wqmember.Member
+	holders    map[string][]wqview.Holder
+	settledYet bool // settledYet is true once this VM might use its own shares.
+	cut        bool // cut is true when the holders follow from this VM being isolated.
+	stale      bool // stale is true when the holders must be computed anew.
 }
 
 // Output is what the owner of a Control has to do next.
@@ -172,11 +173,29 @@
 		Targets:  c.health.States(),
 		Stopping: c.stopping(now),
 		Isolated: c.members.Isolated(),
+		Settled:  c.settled(now),
 
 		StoreReachable: c.config.StoreReachable(),
 	}
 }
 
+// settled reports whether this VM may use its own shares, from the first time
+// on. A VM that starts waits for the handover time, or less in a new fleet.
+func (c *Control) settled(now time.Time) bool {
+	if c.settledYet || c.index.Topology.Revision == 0 {
+		return c.settledYet
+	}
+	for _, holders := range c.holders {
+		for _, h := range holders {
+			if h.MemberID == c.members.Self.ID && now.Before(h.From) {
+				return false
+			}
+		}
+	}
+	c.settledYet = true
+	return true
+}
+
 // alone reports whether no other VM is known to live, so that nobody can know
 // anything newer but the store.
 func (c *Control) alone() bool { return len(c.known) <= 1 }
@@ -228,8 +247,11 @@
 }
 
 // eligible returns m as one that leaves when its availability zone is out, so
-// that it holds nothing new.
+// that it holds nothing new. Without a configuration nothing is known of zones.
 func (c *Control) eligible(m wqmember.Member) wqmember.Member {
+	if c.index.Topology.Revision == 0 {
+		return m
+	}
 	if m.State < wqmember.Leaving && c.index.ZoneOut(m.Zone) {
 		m.State = wqmember.Leaving
 	}
--- a/core/wqcontrol/control_test.go
+++ b/core/wqcontrol/control_test.go
@@ -87,3 +87,17 @@
 	must.Eq(t, heard, f.At(heard.Add(time.Minute), false, true))
 	must.Eq(t, heard.Add(time.Minute), f.At(heard.Add(time.Minute), false, false))
 }
+
+func TestNewVMIsNotReadyBeforeSharesAreUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newControl(now)
+	c.Handle(now, ListSeen{List: []wqmember.Listed{{ID: "vm1", Zone: "a", Region: "r"}, {ID: "vm2", Address: "127.0.0.1:2", Zone: "a", Region: "r"}}})
+	zones := []wqtopology.Zone{{ID: "a", Region: "r"}}
+	searchers := []wqtopology.Searcher{{ID: "s1", Zone: "a", Service: "bench", Shard: "b1", Slots: 3, Connections: 30}}
+	h := &wqhistory.History{Topology: &wqtopology.Topology{Revision: 1, Zones: zones, Searchers: searchers}}
+	c.Handle(now, ConfigurationSeen{Event: wqconfig.Accepted{History: h, StoreRevision: 1}})
+	c.Tick(now)
+	must.False(t, c.View(now).Settled, must.Sprint("vm2 may use the searcher"))
+	later := now.Add(wqmember.DefaultTiming().Handover)
+	must.True(t, c.View(later).Settled)
+}
--- a/core/wqview/view.go
+++ b/core/wqview/view.go
@@ -31,6 +31,7 @@
 	Stopping       bool                       // Stopping is true while new requests are refused: late in a graceful stop, or with this VM's zone out.
 	History        *wqhistory.History         // History is the configuration in force with the latest notes; nil for none.
 	Isolated       bool                       // Isolated is true while too few peers answer to use the shares held.
+	Settled        bool                       // Settled is true once this VM may use its own shares.
 	StoreReachable bool                       // StoreReachable is true when the latest call to the store was answered.
 }
 
--- a/io/wqnode/admin.go
+++ b/io/wqnode/admin.go
@@ -36,6 +36,8 @@
 		return "stopping"
 	case v.Isolated:
 		return "too few peers answer; check the network of this VM"
+	case !v.Settled:
+		return "the searchers' shares rest after the start; they are used within the handover time of 10 s"
 	case v.Index.ZoneOut(v.Self.Zone):
 		return "the availability zone of this VM is out, or no release note names it"
 	}
