Hedge where stragglers are set apart, and for whole queries

The delay now ends where a gap sets stragglers apart, losers count with twice their wait, windows last until they are full, a second hedge may ask the same searcher through another holder, and a query's hedges are taken from the budget all or none.

--- a/core/wqbudget/budget.go
+++ b/core/wqbudget/budget.go
@@ -6,7 +6,7 @@
 //
 //	b := &wqbudget.Budget{Share: 0.05, Burst: 20}
 //	b.Earn(20)
-//	if b.Spend(now) { ... }
+//	if b.Spend(now, 2) { ... }
 //
 // A refusal for load by a target stops all spending for a while, because extra
 // work then only adds to the overload.
@@ -36,14 +36,15 @@
 	b.tokens = min(b.tokens+b.Share*float64(units), b.Burst)
 }
 
-// Spend takes one unit of extra work and reports whether it is allowed.
-func (b *Budget) Spend(now time.Time) bool {
+// Spend takes units of extra work, all or none, and reports whether they are
+// allowed.
+func (b *Budget) Spend(now time.Time, units int) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.tokens < 1 || now.Before(b.opens) {
+	if b.tokens < float64(units) || now.Before(b.opens) {
 		return false
 	}
-	b.tokens--
+	b.tokens -= float64(units)
 	return true
 }
 
--- a/core/wqfanout/pass.go
+++ b/core/wqfanout/pass.go
@@ -149,6 +149,10 @@
 	s.wakeAt = time.Time{}
 	q.pass.open--
 	for i := range s.tries {
-		q.release(now, &s.tries[i], wqreport.Expired)
+		t := &s.tries[i]
+		if t.open && reason == "" {
+			q.Hedge.GivenUp(now, now.Sub(t.sentAt))
+		}
+		q.release(now, t, wqreport.Expired)
 	}
 }
--- a/core/wqfanout/query.go
+++ b/core/wqfanout/query.go
@@ -51,6 +51,7 @@
 	groups  []group
 	scratch []wqreplica.Candidate
 	cancels []int
+	due     []int // due holds the places of shards whose hedge is due.
 	parts   int
 	moves   int
 	lost    bool // lost is true when a shard can't serve the snapshot any more.
@@ -140,19 +141,30 @@
 	}
 	p := q.pass
 	p.wakeAt = time.Time{}
+	q.due = q.due[:0]
 	for place := range p.shards {
-		s := &p.shards[place]
-		if s.settled || s.wakeAt.IsZero() {
-			continue
-		}
-		if !s.wakeAt.After(now) {
-			q.due(now, v, place)
-		}
-		p.wake(s.wakeAt)
+		q.wakeShard(now, v, place)
 	}
+	q.hedgeAll(now, v)
 	return q.settle(now, v)
 }
 
+// wakeShard sends the retry of a shard that is due and lists a hedge that is.
+func (q *Query[R, H]) wakeShard(now time.Time, v *wqview.View, place int) {
+	s := &q.pass.shards[place]
+	switch {
+	case s.settled || s.wakeAt.IsZero():
+	case s.wakeAt.After(now):
+		q.pass.wake(s.wakeAt)
+	case s.waiting():
+		s.wakeAt = time.Time{}
+		q.due = append(q.due, place)
+	default:
+		s.wakeAt = time.Time{}
+		q.dispatch(now, v, place)
+	}
+}
+
 // Half returns how long after Start half of the shards had answered; 0 means
 // that they never did.
 func (q *Query[R, H]) Half() time.Duration { return q.half }
--- a/core/wqfanout/result.go
+++ b/core/wqfanout/result.go
@@ -93,7 +93,7 @@
 	if s.waiting() {
 		return
 	}
-	if sent && status != wqreport.SnapshotGone && !q.Retry.Spend(now) {
+	if sent && status != wqreport.SnapshotGone && !q.Retry.Spend(now, 1) {
 		q.settleShard(now, place, s.reason)
 		return
 	}
@@ -111,7 +111,7 @@
 		q.lost = true
 		return
 	}
-	if s.reason == wqanswer.Shed && !q.Retry.Spend(now) {
+	if s.reason == wqanswer.Shed && !q.Retry.Spend(now, 1) {
 		q.settleShard(now, place, s.reason)
 		return
 	}
@@ -126,17 +126,6 @@
 	q.pass.wake(s.wakeAt)
 }
 
-// due sends the hedge or the retry of a shard.
-func (q *Query[R, H]) due(now time.Time, v *wqview.View, place int) {
-	s := &q.pass.shards[place]
-	s.wakeAt = time.Time{}
-	if !s.waiting() {
-		q.dispatch(now, v, place)
-		return
-	}
-	q.hedge(now, v, place)
-}
-
 func reasonOf(s wqreport.Status) wqanswer.Reason {
 	switch s {
 	case wqreport.SnapshotGone:
--- a/core/wqfanout/send.go
+++ b/core/wqfanout/send.go
@@ -9,8 +9,12 @@
 	"wisteriaquay/core/wqview"
 )
 
-// maxHedges is how many hedges one shard gets.
-const maxHedges = 2
+const (
+	maxHedges  = 2                // maxHedges is how many hedges one shard gets.
+	askAgain   = 4                // askAgain is the part of the delay after which a hedge that the budget refused is asked for again.
+	nextHedge  = 75               // nextHedge is the part of the delay between two hedges of a shard, in percent.
+	leastPause = time.Millisecond // leastPause is the shortest time between two attempts to hedge a shard.
+)
 
 // dispatch sends a shard's sub-query to a candidate that was not tried yet.
 func (q *Query[R, H]) dispatch(now time.Time, v *wqview.View, place int) {
@@ -26,26 +30,46 @@
 	}
 }
 
-// hedge sends a second sub-query for a shard, if there is a warm candidate and
-// the budget allows it, and sets the time of the next one.
-func (q *Query[R, H]) hedge(now time.Time, v *wqview.View, place int) {
-	s := &q.pass.shards[place]
-	if s.hedges >= maxHedges {
+// hedgeAll sends the hedges that are due, if the budget allows all of them.
+func (q *Query[R, H]) hedgeAll(now time.Time, v *wqview.View) {
+	picks := make([]wqreplica.Candidate, 0, len(q.due))
+	able := q.due[:0]
+	for _, place := range q.due {
+		if c, ok := q.pickHedge(now, v, place); ok {
+			able = append(able, place)
+			picks = append(picks, c)
+		}
+	}
+	wait, hedged := q.Hedge.Delay()
+	if len(able) == 0 || !hedged {
 		return
 	}
-	candidates, _ := q.candidates(v, place, true)
-	i := q.Replica.Pick(now, candidates, q.Random())
-	if i < 0 {
+	if !q.Hedge.Allow(now, len(able)) {
+		for _, place := range able {
+			q.wakeLater(place, now.Add(max(wait/askAgain, leastPause)))
+		}
 		return
 	}
-	if q.Hedge.Allow(now) {
-		s.hedges++
+	for i, place := range able {
+		q.pass.shards[place].hedges++
 		q.hedges++
-		q.send(now, place, candidates[i], true)
+		q.send(now, place, picks[i], true)
+		q.wakeLater(place, now.Add(max(wait*nextHedge/100, leastPause)))
 	}
-	if wait, ok := q.Hedge.Delay(); ok {
-		q.wakeLater(place, now.Add(wait))
+}
+
+// pickHedge returns the candidate for a shard's next hedge, if there is a warm
+// one and the shard may have more.
+func (q *Query[R, H]) pickHedge(now time.Time, v *wqview.View, place int) (wqreplica.Candidate, bool) {
+	if q.pass.shards[place].hedges >= maxHedges {
+		return wqreplica.Candidate{}, false
+	}
+	candidates, _ := q.candidates(v, place, true)
+	i := q.Replica.Pick(now, candidates, q.Random())
+	if i < 0 {
+		return wqreplica.Candidate{}, false
 	}
+	return candidates[i], true
 }
 
 func (q *Query[R, H]) wakeLater(place int, at time.Time) {
@@ -79,8 +103,8 @@
 }
 
 // candidates lists the ways to reach a shard that are allowed now and were not
-// tried in this round. A hedge goes to warm searchers that no open try asks.
-// When the list is empty, the reason tells why.
+// tried in this round. A hedge goes to warm searchers, the first one to one that
+// no open try asks. When the list is empty, the reason tells why.
 func (q *Query[R, H]) candidates(v *wqview.View, place int, hedge bool) ([]wqreplica.Candidate, wqanswer.Reason) {
 	q.scratch = q.scratch[:0]
 	s := &q.pass.shards[place]
@@ -93,7 +117,7 @@
 			why = barred
 			continue
 		}
-		if hedge && (target.Cold || s.asks(r.ID)) {
+		if hedge && (target.Cold || (s.hedges == 0 && s.asks(r.ID))) {
 			continue
 		}
 		why = wqanswer.NotHeld
--- a/core/wqfanout/step.go
+++ b/core/wqfanout/step.go
@@ -22,14 +22,16 @@
 type HedgePolicy interface {
 	// Delay returns how long a sub-query waits before a hedge, false for none.
 	Delay() (time.Duration, bool)
-	// Allow takes one hedge from the budget and reports whether it was there.
-	Allow(now time.Time) bool
+	// Allow takes hedges of one query from the budget, all or none, and reports whether they were there.
+	Allow(now time.Time, count int) bool
 	// Earn notes sub-queries that were sent for the first time.
 	Earn(count int)
 	// Refused notes that a target refused for load.
 	Refused(now time.Time)
 	// Observe notes the latency of one answered sub-query.
 	Observe(now time.Time, latency time.Duration)
+	// GivenUp notes how long a sub-query had waited when another's answer made it superfluous.
+	GivenUp(now time.Time, waited time.Duration)
 }
 
 // Batch is one call to a holder.
--- a/core/wqfanout/world_test.go
+++ b/core/wqfanout/world_test.go
@@ -22,7 +22,7 @@
 }
 
 func (h fixedHedge) Delay() (time.Duration, bool) { return h.after, h.after > 0 }
-func (h fixedHedge) Allow(time.Time) bool         { return true }
+func (h fixedHedge) Allow(time.Time, int) bool    { return true }
 
 type testQuery = Query[wqreplica.Random, fixedHedge]
 
--- a/core/wqhedge/quantile.go
+++ b/core/wqhedge/quantile.go
@@ -8,10 +8,12 @@
 //	h := wqhedge.NewQuantile(0.95, &wqbudget.Budget{Share: 0.05, Burst: 50, Pause: time.Second})
 //	h.Earn(20)
 //	wait, ok := h.Delay()
-//	if h.Allow(now) { ... }
+//	if h.Allow(now, 1) { ... }
 //	h.Observe(now, latency)
 //
-// The delay follows the quantile of the last two windows. Never is the plain
+// The delay follows the quantile of recent latencies. Where stragglers are set
+// apart from other answers near that quantile, it is the latency at which the gap
+// begins: waiting inside the gap brings no answer. Never is the plain
 // baseline without hedges.
 package wqhedge
 
@@ -26,11 +28,19 @@
 )
 
 const (
-	window       = time.Second      // window is how long one histogram is filled.
-	leastSamples = 50               // leastSamples is how many observations a delay needs.
-	refreshEvery = 64               // refreshEvery is how many observations pass between two looks at the quantile.
-	longest      = 60 * time.Second // longest is the largest latency kept.
-	digits       = 2                // digits is the decimal precision of the histograms.
+	window        = time.Second      // window is the shortest time that one histogram is filled.
+	fullWindow    = 512              // fullWindow is how many observations it gets before the next is begun.
+	leastSamples  = 50               // leastSamples is how many observations a delay needs.
+	refreshEvery  = 32               // refreshEvery is how many observations pass between two looks at the quantile.
+	longest       = 60 * time.Second // longest is the largest latency kept.
+	givenUpFactor = 2                // givenUpFactor estimates the whole time of a sub-query from what it had waited when given up.
+	digits        = 2                // digits is the decimal precision of the histograms.
+	gap           = 1.5              // gap is the factor between two neighbouring latencies that sets stragglers apart.
+	gapAbove      = 1.25             // gapAbove bounds the share of latencies above a gap, relative to the quantile's.
+	gapBelow      = 0.2              // gapBelow is its lower bound.
+	gapSamples    = 8                // gapSamples is how many latencies above a gap it needs.
+	gapMargin     = 4                // gapMargin is how many steps before the gap the hedge is sent.
+	gapSteps      = 64               // gapSteps is how many quantiles are looked at for a gap.
 )
 
 // Quantile hedges after a latency quantile of recent sub-queries, while the
@@ -64,8 +74,10 @@
 	return d, d > 0
 }
 
-// Allow takes one hedge from the budget and reports whether it was there.
-func (q *Quantile) Allow(now time.Time) bool { return q.Budget.Spend(now) }
+// Allow takes this many hedges from the budget, all or none, and reports whether
+// they were there. The hedges of one query are of use together only, so that
+// under a short budget queries with few stragglers go first.
+func (q *Quantile) Allow(now time.Time, count int) bool { return q.Budget.Spend(now, count) }
 
 // Earn notes sub-queries that were sent for the first time.
 func (q *Quantile) Earn(count int) { q.Budget.Earn(count) }
@@ -77,7 +89,7 @@
 func (q *Quantile) Observe(now time.Time, latency time.Duration) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if now.Sub(q.began) > window {
+	if now.Sub(q.began) > window && q.current.TotalCount() >= fullWindow {
 		q.turn(now)
 	}
 	_ = q.current.RecordValue(min(latency, longest).Microseconds())
@@ -103,8 +115,39 @@
 	if q.Quantile <= 0 || sampled.TotalCount() < leastSamples {
 		return
 	}
-	micros := sampled.ValueAtQuantile(q.Quantile * 100)
-	q.delay.Store(int64(time.Duration(micros) * time.Microsecond))
+	q.delay.Store(int64(time.Duration(q.knee(sampled)) * time.Microsecond))
+}
+
+// knee returns the latency after which to hedge, in microseconds.
+func (q *Quantile) knee(h *hdrhistogram.Histogram) int64 {
+	above := 1 - q.Quantile
+	fewest := gapSamples / (above * float64(h.TotalCount()))
+	values := h.ValueAtPercentilesSlice(steps(above, max(gapBelow, fewest)))
+	for i := 1; i < len(values); i++ {
+		if float64(values[i]) > gap*float64(values[i-1]) {
+			return values[max(0, i-gapMargin)]
+		}
+	}
+	return h.ValueAtQuantile(100 * q.Quantile)
+}
+
+// steps returns percentiles that leave gapAbove down to below times this share
+// of the latencies above them.
+func steps(above, below float64) []float64 {
+	percentiles := make([]float64, 0, gapSteps)
+	for i := range gapSteps {
+		share := gapAbove - (gapAbove-gapBelow)*float64(i)/(gapSteps-1)
+		if share >= below {
+			percentiles = append(percentiles, 100*(1-share*above))
+		}
+	}
+	return percentiles
+}
+
+// GivenUp adds a sub-query that had waited this long when another's answer made
+// it superfluous. It would have taken longer still.
+func (q *Quantile) GivenUp(now time.Time, waited time.Duration) {
+	q.Observe(now, givenUpFactor*waited)
 }
 
 // Never sends no hedges.
@@ -114,7 +157,7 @@
 func (Never) Delay() (time.Duration, bool) { return 0, false }
 
 // Allow returns false.
-func (Never) Allow(time.Time) bool { return false }
+func (Never) Allow(time.Time, int) bool { return false }
 
 // Earn does nothing.
 func (Never) Earn(int) {}
@@ -124,3 +167,6 @@
 
 // Observe does nothing.
 func (Never) Observe(time.Time, time.Duration) {}
+
+// GivenUp does nothing.
+func (Never) GivenUp(time.Time, time.Duration) {}
