Wait for late replies of write-like requests

A send whose time has passed was recorded as unknown for good although its reply might still come. The gate now answers pending at the request's time, waits 5 s longer for the reply, and records it. End-to-end tests start real processes for at most once and graceful stops.

--- a/io/wqdispatch/gate.go
+++ b/io/wqdispatch/gate.go
@@ -9,7 +9,7 @@
 //	reply, err := gate.DispatchWrite(ctx, request)
 //	reply, err = gate.DispatchOutcome(ctx, question)
 //
-// A send goes on when the call that asked for it is lost, until its own deadline,
+// A send goes on when the call that asked for it is lost or its time has passed,
 // so that its outcome can be asked for. A stopping VM waits until Active is 0.
 package wqdispatch
 
@@ -30,45 +30,51 @@
 	maxBytes     = 16 << 20         // maxBytes bounds the replies in memory, in bytes.
 	maxRemaining = 60 * time.Second // maxRemaining bounds the time that a call may ask for.
 	keepLives    = 2                // keepLives is how many lives of a ticket its record is kept.
+	lateReply    = 5 * time.Second  // lateReply is how long after a request's time its reply is still waited for.
 )
 
 // Gate lets each ticket through once. It is safe for concurrent use.
 type Gate struct {
-	// Send sends the request to the searcher once. An error whose kind is
+	// Send sends the request to the searcher once, within the request's time, and
+	// may wait for the reply longer. An error whose kind is
 	// NotRun, and only that, proves that nothing ran.
 	Send func(context.Context, *wqpb.DispatchWriteRequest) (*wqpb.WriteResponse, error)
 
 	mu      sync.Mutex
 	fence   wqfence.Fence
-	running map[wqfence.Key]chan struct{}
+	running map[wqfence.Key]*sending
+}
+
+// sending is one send in progress.
+type sending struct {
+	done   chan struct{}
+	result wqticket.Result // result is set before done is closed.
 }
 
 // New returns the gate of one start of a holder, for tickets of the given life.
 func New(epoch uint64, ticketLife time.Duration) *Gate {
 	return &Gate{
 		fence:   wqfence.Fence{Epoch: epoch, Keep: keepLives * ticketLife, MaxCount: maxCount, MaxBytes: maxBytes},
-		running: make(map[wqfence.Key]chan struct{}),
+		running: make(map[wqfence.Key]*sending),
 	}
 }
 
 // DispatchWrite sends a write-like request to its searcher, unless it was here
-// before; then it returns what is known, after waiting for a send that is in
-// progress. Its errors are BadInput faults.
+// before. It waits for the send within the request's time and returns what is
+// known then, Pending if nothing is. Its errors are BadInput faults.
 func (g *Gate) DispatchWrite(ctx context.Context, r *wqpb.DispatchWriteRequest) (*wqpb.WriteResponse, error) {
 	id, err := wqticket.Parse(r.GetTicket())
 	if err != nil {
 		return nil, err
 	}
 	k := wqfence.KeyOf(id, r.GetSearcher())
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), remaining(r.GetRemainingMicros()))
-	defer cancel()
 	run, known := g.admit(k, r.GetHolderEpoch())
-	if !run {
-		return wqresult.Encode(r.GetTicket(), g.settled(ctx, k, known)), nil
+	if run {
+		go g.send(context.WithoutCancel(ctx), k, r)
 	}
-	sent := g.send(ctx, r)
-	g.finish(k, sent)
-	return wqresult.Encode(r.GetTicket(), sent), nil
+	ctx, cancel := context.WithTimeout(ctx, remaining(r.GetRemainingMicros()))
+	defer cancel()
+	return wqresult.Encode(r.GetTicket(), g.settled(ctx, k, known)), nil
 }
 
 // DispatchOutcome returns what became of a DispatchWrite, after waiting for a
@@ -97,7 +103,7 @@
 	defer g.mu.Unlock()
 	run, known := g.fence.Admit(k, epoch, time.Now())
 	if run {
-		g.running[k] = make(chan struct{})
+		g.running[k] = &sending{done: make(chan struct{})}
 	}
 	return run, known
 }
@@ -108,11 +114,25 @@
 	return g.fence.Ask(k, epoch, time.Now())
 }
 
-func (g *Gate) finish(k wqfence.Key, r wqticket.Result) {
+// send makes the one send of a request. It ends with the send's own deadline and
+// not with the call, so that a late reply is not lost.
+func (g *Gate) send(ctx context.Context, k wqfence.Key, r *wqpb.DispatchWriteRequest) {
+	ctx, cancel := context.WithTimeout(ctx, remaining(r.GetRemainingMicros())+lateReply)
+	defer cancel()
+	reply, err := g.Send(ctx, r)
+	sent := wqresult.Decode(reply)
+	if err != nil {
+		sent = failed(err)
+	}
+	if sent.Outcome == wqticket.Pending {
+		sent.Outcome = wqticket.Unknown
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.fence.Finish(k, r)
-	close(g.running[k])
+	g.fence.Finish(k, sent)
+	n := g.running[k]
+	n.result = sent
+	close(n.done)
 	delete(g.running, k)
 }
 
@@ -122,28 +142,17 @@
 		return known
 	}
 	g.mu.Lock()
-	done := g.running[k]
+	n := g.running[k]
 	g.mu.Unlock()
-	if done != nil {
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return known
-		}
-	}
-	return g.ask(k, 0)
-}
-
-func (g *Gate) send(ctx context.Context, r *wqpb.DispatchWriteRequest) wqticket.Result {
-	reply, err := g.Send(ctx, r)
-	if err != nil {
-		return failed(err)
+	if n == nil {
+		return g.ask(k, 0)
 	}
-	sent := wqresult.Decode(reply)
-	if sent.Outcome == wqticket.Pending {
-		sent.Outcome = wqticket.Unknown
+	select {
+	case <-n.done:
+		return n.result
+	case <-ctx.Done():
+		return known
 	}
-	return sent
 }
 
 func failed(err error) wqticket.Result {
--- /dev/null
+++ b/test/e2e/stops_test.go
@@ -0,0 +1,170 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/test/wqprocess"
+	"wisteriaquay/test/wqstorestand"
+)
+
+const (
+	balancerLag = 400 * time.Millisecond // balancerLag is well above the period of the test's balancer.
+	stopLimit   = 8 * time.Second
+	ticketLife  = 3 * time.Second
+)
+
+// load is callers that query and write through the balancer until it ends.
+type load struct {
+	mu      sync.Mutex
+	failed  []error
+	queries int
+	claims  []*claims
+	stop    context.CancelFunc
+	group   sync.WaitGroup
+}
+
+func startLoad(t *testing.T, f *wqprocess.Fleet) *load {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	l := &load{stop: cancel}
+	b := newBalancer(ctx, f, 1)
+	for i := range 8 {
+		l.group.Go(func() { l.query(ctx, b, i) })
+		l.group.Go(func() { l.write(ctx, b, i) })
+	}
+	return l
+}
+
+func (l *load) query(ctx context.Context, b *balancer, caller int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		err := query(context.WithoutCancel(ctx), b.pick(), fmt.Sprintf("q-%d-%d", caller, n))
+		l.mu.Lock()
+		l.queries++
+		if err != nil {
+			l.failed = append(l.failed, err)
+		}
+		l.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func (l *load) write(ctx context.Context, b *balancer, caller int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		vm := b.pick()
+		id, err := ticketAt(context.WithoutCancel(ctx), vm)
+		c := &claims{Ticket: id}
+		if err == nil {
+			c.hear(write(context.WithoutCancel(ctx), b.pick(), id, wqprocess.Shard((caller+n)%shards)))
+		}
+		l.mu.Lock()
+		l.claims = append(l.claims, c)
+		switch {
+		case err != nil:
+			l.failed = append(l.failed, fmt.Errorf("ticket at %s: %w", vm.ID, err))
+		case !c.Done:
+			l.failed = append(l.failed, fmt.Errorf("write under %s: %+v", id, c))
+		}
+		l.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// end stops the load and fails the test if any request was cut.
+func (l *load) end(t *testing.T, f *wqprocess.Fleet) {
+	t.Helper()
+	l.stop()
+	l.group.Wait()
+	t.Logf("%d queries, %v, %d failed", l.queries, check(t, f, l.claims), len(l.failed))
+	for _, err := range l.failed[:min(len(l.failed), 10)] {
+		t.Errorf("a stop cuts no request: %v", err)
+	}
+}
+
+func stoppable() wqprocess.Options {
+	return wqprocess.Options{
+		VMs: 4, Shards: shards, Replicas: 2,
+		BalancerLag: balancerLag, TicketLife: ticketLife, StopLimit: stopLimit,
+	}
+}
+
+// awaitEnd fails the test unless the VM exits cleanly within its stop limit.
+func awaitEnd(t *testing.T, vm *wqprocess.VM) {
+	t.Helper()
+	started := time.Now()
+	select {
+	case <-vm.Ended():
+		test.NoError(t, vm.Err(), test.Sprintf("%s exits cleanly", vm.ID))
+		t.Logf("%s stopped in %s", vm.ID, time.Since(started).Round(10*time.Millisecond))
+	case <-time.After(stopLimit + time.Second):
+		t.Errorf("%s runs on %s after its signal; it exits within its stop limit of %s", vm.ID, time.Since(started), stopLimit)
+	}
+}
+
+func TestStopsUnderLoadCutNoRequest(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		store wqstorestand.Faults
+		stops int
+	}{
+		{"one", wqstorestand.Faults{}, 1},
+		{"two at once", wqstorestand.Faults{}, 2},
+		{"store hangs", wqstorestand.Faults{Hang: true}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := wqprocess.Start(t, stoppable())
+			f.WaitReady()
+			l := startLoad(t, f)
+			time.Sleep(300 * time.Millisecond)
+			f.Store.SetFaults(c.store)
+			leaving := f.Running()[:c.stops]
+			for _, vm := range leaving {
+				vm.Terminate()
+			}
+			for _, vm := range leaving {
+				awaitEnd(t, vm)
+			}
+			time.Sleep(300 * time.Millisecond)
+			f.Store.SetFaults(wqstorestand.Faults{})
+			l.end(t, f)
+		})
+	}
+}
+
+func TestRollingReplacementCutsNoRequest(t *testing.T) {
+	f := wqprocess.Start(t, stoppable())
+	f.WaitReady()
+	l := startLoad(t, f)
+	for _, vm := range f.Running() {
+		f.StartVM().WaitReady()
+		vm.Terminate()
+		awaitEnd(t, vm)
+	}
+	l.end(t, f)
+}
+
+func TestSecondSignalCutsNothingShort(t *testing.T) {
+	f := wqprocess.Start(t, stoppable())
+	f.WaitReady()
+	vm := f.VMs[0]
+	id, err := ticketAt(t.Context(), vm)
+	must.NoError(t, err)
+	vm.Terminate()
+	time.Sleep(balancerLag / 2)
+	vm.Terminate()
+	time.Sleep(balancerLag)
+	must.True(t, vm.Running(), must.Sprint("a stopping VM outlives its tickets"))
+	c := &claims{Ticket: id}
+	c.hear(write(t.Context(), f.VMs[1], id, wqprocess.Shard(0)))
+	must.True(t, c.Done, must.Sprintf("a ticket of a stopping VM is good: %+v", c))
+	awaitEnd(t, vm)
+	c = &claims{Ticket: id}
+	c.hear(outcome(t.Context(), f.VMs[1], id))
+	must.False(t, c.NotRun, must.Sprint("a VM that is gone can't prove that nothing ran"))
+}
--- /dev/null
+++ b/test/e2e/writes_test.go
@@ -0,0 +1,297 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/test/wqprocess"
+	"wisteriaquay/test/wqsearcher"
+)
+
+const (
+	shards      = 4
+	callers     = 24
+	settleLimit = 15 * time.Second // settleLimit bounds the wait for outcomes once faults have ended.
+)
+
+func setting(name string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return otherwise
+}
+
+// TestWritesUnderRandomFaults sends write-like requests while VMs are killed,
+// frozen and replaced, routes lose replies or everything, and the store is down,
+// and compares all answers with the searchers' own record.
+// WISTERIAQUAY_WRITES sets the number of requests, WISTERIAQUAY_SEED the seed.
+func TestWritesUnderRandomFaults(t *testing.T) {
+	count := setting("WISTERIAQUAY_WRITES", 1000)
+	seed := uint64(setting("WISTERIAQUAY_SEED", 1))
+	f := wqprocess.Start(t, wqprocess.Options{VMs: 4, Shards: shards, Replicas: 2})
+	f.WaitReady()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	b := newBalancer(ctx, f, seed)
+	faulty, endFaults := context.WithCancel(ctx)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		injectFaults(faulty, f, seed)
+	}()
+	all := writeMany(ctx, t, b, count)
+	endFaults()
+	<-stopped
+	f.Heal()
+	settle(ctx, b, all)
+	t.Logf("seed %d: %v", seed, check(t, f, all))
+}
+
+// writeMany sends count requests by several callers at once.
+func writeMany(ctx context.Context, t *testing.T, b *balancer, count int) []*claims {
+	all := make([]*claims, count)
+	next := make(chan int)
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for i := range next {
+				id, err := ticket(ctx, b)
+				if err != nil {
+					t.Errorf("no VM gives a ticket: %v", err)
+					all[i] = &claims{NotRun: true}
+					continue
+				}
+				all[i] = writeUntilKnown(ctx, b, id, wqprocess.Shard(i%shards))
+			}
+		})
+	}
+	for i := range count {
+		next <- i
+	}
+	close(next)
+	group.Wait()
+	return all
+}
+
+// settle asks for the outcomes that are not known until none is pending.
+func settle(ctx context.Context, b *balancer, all []*claims) {
+	deadline := time.Now().Add(settleLimit)
+	for time.Now().Before(deadline) {
+		pending := 0
+		for _, c := range all {
+			if c.known() || c.Settled {
+				continue
+			}
+			c.hear(outcome(ctx, b.pick(), c.Ticket))
+			c.Settled = c.Last == wqpb.Outcome_OUTCOME_UNKNOWN
+			pending++
+		}
+		if pending == 0 {
+			return
+		}
+	}
+}
+
+// fault is one thing that goes wrong and the function that ends it.
+type fault func(f *wqprocess.Fleet, draw *rand.Rand) (end func())
+
+// injectFaults lets one thing after the other go wrong, two at a time at most.
+func injectFaults(ctx context.Context, f *wqprocess.Fleet, seed uint64) {
+	draw := rand.New(rand.NewPCG(seed, 3))
+	faults := []fault{killOne, freezeOne, cutPeer, swallowPeer, losePeerReplies, cutSearcher, loseSearcherReplies, swallowSearcher, restartSearcher, stopOne, storeOutage}
+	for ctx.Err() == nil {
+		first := faults[draw.IntN(len(faults))](f, draw)
+		time.Sleep(time.Duration(100+draw.IntN(400)) * time.Millisecond)
+		second := faults[draw.IntN(len(faults))](f, draw)
+		time.Sleep(time.Duration(100+draw.IntN(700)) * time.Millisecond)
+		second()
+		first()
+	}
+}
+
+func anyVM(f *wqprocess.Fleet, draw *rand.Rand) *wqprocess.VM {
+	running := f.Running()
+	return running[draw.IntN(len(running))]
+}
+
+func anySearcher(f *wqprocess.Fleet, draw *rand.Rand) *wqprocess.Searcher {
+	return f.Searchers[draw.IntN(len(f.Searchers))]
+}
+
+func killOne(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	anyVM(f, draw).Kill()
+	return func() { f.StartVM() }
+}
+
+func stopOne(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	anyVM(f, draw).Terminate()
+	return func() { f.StartVM() }
+}
+
+func freezeOne(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	vm := anyVM(f, draw)
+	vm.Freeze()
+	return vm.Thaw
+}
+
+func cutPeer(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anyVM(f, draw).Wire
+	w.Cut()
+	return w.Heal
+}
+
+func swallowPeer(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anyVM(f, draw).Wire
+	w.Swallow()
+	return w.Heal
+}
+
+func losePeerReplies(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anyVM(f, draw).Wire
+	w.LoseReplies(0)
+	return w.Heal
+}
+
+func cutSearcher(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anySearcher(f, draw).Wire
+	w.Cut()
+	return w.Heal
+}
+
+func loseSearcherReplies(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anySearcher(f, draw).Wire
+	w.LoseReplies(0)
+	return w.Heal
+}
+
+func swallowSearcher(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	w := anySearcher(f, draw).Wire
+	w.Swallow()
+	return w.Heal
+}
+
+func restartSearcher(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	anySearcher(f, draw).Restart()
+	return func() {}
+}
+
+func storeOutage(f *wqprocess.Fleet, draw *rand.Rand) func() {
+	if draw.IntN(2) == 0 {
+		f.StoreWire.Cut()
+	} else {
+		f.StoreWire.Swallow()
+	}
+	return f.StoreWire.Heal
+}
+
+// TestLostRepliesAtEachHop loses the reply of one hop at a time. The outcome is
+// known again once the route heals, except where the searcher's own reply is
+// lost.
+func TestLostRepliesAtEachHop(t *testing.T) {
+	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: 1, Replicas: 1})
+	f.WaitReady()
+	b := newBalancer(t.Context(), f, 1)
+	s := f.Searchers[0]
+	for _, vm := range f.VMs {
+		id := ticketOf(t, vm)
+		vm.Wire.LoseReplies(0)
+		c := &claims{Ticket: id}
+		for _, entry := range f.VMs {
+			c.hear(write(t.Context(), entry, id, wqprocess.Shard(0)))
+		}
+		vm.Wire.Heal()
+		c.hear(write(t.Context(), b.pick(), id, wqprocess.Shard(0)))
+		must.True(t, c.Done, must.Sprintf("a reply that a peer lost is known again: %+v", c))
+		check(t, f, []*claims{c})
+	}
+	id := ticketOf(t, f.VMs[0])
+	s.Change(func(k *wqsearcher.Knobs) { k.Fault = wqsearcher.FaultLost })
+	c := &claims{Ticket: id}
+	for _, entry := range f.VMs {
+		c.hear(write(t.Context(), entry, id, wqprocess.Shard(0)))
+		must.Eq(t, wqpb.Outcome_OUTCOME_UNKNOWN, c.Last)
+	}
+	must.Eq(t, 1, check(t, f, []*claims{c})["unknown_ran"])
+}
+
+func ticketOf(t *testing.T, vm *wqprocess.VM) string {
+	t.Helper()
+	b := &balancer{ready: []*wqprocess.VM{vm}, draw: rand.New(rand.NewPCG(1, 1))}
+	id, err := ticket(t.Context(), b)
+	must.NoError(t, err)
+	return id
+}
+
+// TestPausesAndKillsAroundTheSend freezes or kills the VM that minted the ticket
+// or the holders, at many moments before and after the send, and repeats the
+// request elsewhere meanwhile.
+func TestPausesAndKillsAroundTheSend(t *testing.T) {
+	for _, kill := range []bool{false, true} {
+		t.Run(fmt.Sprintf("kill=%t", kill), func(t *testing.T) {
+			f := wqprocess.Start(t, wqprocess.Options{
+				VMs: 3, Shards: shards, Replicas: 1,
+				Knobs: wqsearcher.Knobs{Slots: 24, Connections: 24, Batch: 1, ServiceMillis: 8},
+			})
+			f.WaitReady()
+			b := newBalancer(t.Context(), f, 1)
+			var all []*claims
+			for step := range setting("WISTERIAQUAY_MOMENTS", 12) {
+				all = append(all, writeAround(t, f, b, step, kill)...)
+			}
+			f.Heal()
+			settle(t.Context(), b, all)
+			t.Logf("kill=%t: %v", kill, check(t, f, all))
+		})
+	}
+}
+
+// writeAround starts one request for each shard and strikes one VM a moment
+// later.
+func writeAround(t *testing.T, f *wqprocess.Fleet, b *balancer, step int, kill bool) []*claims {
+	t.Helper()
+	vms := f.Running()
+	victim, entry := vms[step%3], vms[(step+1)%3]
+	var group sync.WaitGroup
+	written := make([]*claims, shards)
+	for i := range written {
+		id := ticketOf(t, vms[(step+i)%3])
+		written[i] = &claims{Ticket: id}
+		group.Go(func() {
+			written[i].hear(write(t.Context(), entry, id, wqprocess.Shard(i)))
+		})
+	}
+	time.Sleep(time.Duration(step) * 1500 * time.Microsecond)
+	if kill {
+		victim.Kill()
+	} else {
+		victim.Freeze()
+	}
+	group.Wait()
+	for i, c := range written {
+		c.hear(write(t.Context(), b.pick(), c.Ticket, wqprocess.Shard(i)))
+	}
+	if kill {
+		f.StartVM()
+	}
+	victim.Thaw()
+	f.WaitReady()
+	return written
+}
+
+// TestWritesDuringStoreOutage needs no store for write-like requests.
+func TestWritesDuringStoreOutage(t *testing.T) {
+	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: shards, Replicas: 2})
+	f.WaitReady()
+	f.StoreWire.Swallow()
+	all := writeMany(t.Context(), t, newBalancer(t.Context(), f, 1), 200)
+	must.Eq(t, 200, check(t, f, all)["done"], must.Sprint("an outage of the store stops no write-like request"))
+}
--- a/test/wqprocess/fleet.go
+++ b/test/wqprocess/fleet.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,6 +78,7 @@
 	StoreWire *wqwire.Wire
 
 	t        *testing.T
+	mu       sync.Mutex // mu guards VMs while tests start more.
 	list     *wqliststand.Server
 	listURL  string
 	topology *wqtopology.Topology
@@ -180,7 +182,7 @@
 // WaitReady waits until every VM that runs is ready.
 func (f *Fleet) WaitReady() {
 	f.t.Helper()
-	for _, vm := range f.VMs {
+	for _, vm := range f.Running() {
 		vm.WaitReady()
 	}
 }
@@ -202,7 +204,7 @@
 	for _, s := range f.Searchers {
 		s.Wire.Heal()
 	}
-	for _, vm := range f.VMs {
+	for _, vm := range f.Running() {
 		vm.Wire.Heal()
 		vm.Thaw()
 	}
@@ -212,10 +214,8 @@
 // listVMs puts the VMs that run on the VM list.
 func (f *Fleet) listVMs() {
 	var listed []wqvmlist.VM
-	for _, vm := range f.VMs {
-		if vm.Running() {
-			listed = append(listed, wqvmlist.VM{ID: vm.ID, Address: vm.Wire.Address(), Zone: vm.Zone, Region: "r1"})
-		}
+	for _, vm := range f.Running() {
+		listed = append(listed, wqvmlist.VM{ID: vm.ID, Address: vm.Wire.Address(), Zone: vm.Zone, Region: "r1"})
 	}
 	f.list.Set(listed)
 }
@@ -224,3 +224,16 @@
 	t.Helper()
 	must.Wait(t, wait.InitialSuccess(wait.ErrorFunc(check), wait.Timeout(limit), wait.Gap(20*time.Millisecond)), must.Sprintf("%s within %s", what, limit))
 }
+
+// Running returns the VMs whose processes run.
+func (f *Fleet) Running() []*VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var running []*VM
+	for _, vm := range f.VMs {
+		if vm.Running() {
+			running = append(running, vm)
+		}
+	}
+	return running
+}
--- a/test/wqprocess/vm.go
+++ b/test/wqprocess/vm.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -10,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -20,7 +23,18 @@
 	"wisteriaquay/test/wqwire"
 )
 
-const logTail = 4096 // logTail is how much of a VM's log a failed test prints, in bytes.
+const (
+	logTail      = 4096                   // logTail is how much of a VM's log a failed test prints, in bytes.
+	readyTimeout = 200 * time.Millisecond // readyTimeout bounds one readiness check.
+	lowestPort   = 12000
+	portCount    = 18000
+	portTries    = 1000
+)
+
+var (
+	portBase   = rand.IntN(portCount) // portBase differs among test processes that run at once.
+	portsGiven atomic.Int64
+)
 
 // VM is one process of the program.
 type VM struct {
@@ -68,7 +82,9 @@
 	f.t.Cleanup(release)
 	vm.Wire = wire
 	vm.start(peer)
+	f.mu.Lock()
 	f.VMs = append(f.VMs, vm)
+	f.mu.Unlock()
 	f.listVMs()
 	return vm
 }
@@ -140,7 +156,7 @@
 
 // Ready asks the VM's readiness check and returns why it is not ready.
 func (vm *VM) Ready() error {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Admin+"/readyz", http.NoBody)
 	if err != nil {
@@ -152,7 +168,8 @@
 	}
 	defer func() { _ = reply.Body.Close() }()
 	if reply.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", vm.ID, reply.StatusCode)
+		reason, _ := io.ReadAll(io.LimitReader(reply.Body, logTail))
+		return fmt.Errorf("%s: status %d: %s", vm.ID, reply.StatusCode, strings.TrimSpace(string(reason)))
 	}
 	return nil
 }
@@ -177,11 +194,18 @@
 	vm.fleet.t.Logf("log of %s:\n%s", vm.ID, strings.TrimSpace(tail))
 }
 
-// freeAddress returns an address of loopback that nothing listens on.
+// freeAddress returns an address of loopback that nothing listens on. Its port is
+// below those that the kernel gives to outgoing connections.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+(portBase+int(portsGiven.Add(1)))%portCount)
+		l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", address)
+		if err == nil {
+			must.NoError(t, l.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free on loopback")
+	return ""
 }
--- a/test/wqwire/wire.go
+++ b/test/wqwire/wire.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -93,6 +94,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	name := fmt.Sprintf("%s_%s", kind, stream)
+	if slices.Contains(w.names, name) {
+		return
+	}
 	body, err := json.Marshal(struct {
 		Name       string         `json:"name"`
 		Type       string         `json:"type"`
