Test publishing against a store that fails

Cause: each store fault that the design names needs a test that brings it about, by the code that VMs run. The race showed topologies that were equal but for nil and empty lists; wqnote now keeps empty lists nil. Watchers read the value every 2 to 3 s when it is small, so that a watch that misses a change costs at most one more wait.

--- a/core/wqconfig/fleet_test.go
+++ b/core/wqconfig/fleet_test.go
@@ -35,6 +35,7 @@
 	loss     float64 // loss is the share of messages lost, and of messages doubled.
 	down     bool    // down is true while the store fails every call.
 	stale    bool    // stale lets the store's reads answer from the past.
+	mute     bool    // mute lets watches miss every change.
 	fetches  int
 	bytes    int // bytes counts changes sent as notes, and whole histories as 1,000.
 }
@@ -235,7 +236,7 @@
 			switch {
 			case f.down:
 				v.Handle(f.now, wqconfig.StoreFailed{})
-			case uint64(newest) > a.After && !f.stale:
+			case uint64(newest) > a.After && !f.stale && !f.mute:
 				v.Handle(f.now, wqconfig.StoreAnswered{History: f.accepted[newest], Revision: uint64(newest), Bytes: 4096})
 			case !f.now.Before(until):
 				v.Handle(f.now, wqconfig.StoreAnswered{})
@@ -347,6 +348,7 @@
 	f := newFleet(t, 5, 8)
 	f.publish(f.vms[0])
 	f.run(10 * time.Second)
+	f.mute = true
 	f.publish(f.vms[1])
 	f.boot(1)
 	f.run(bound)
--- a/core/wqconfig/timing.go
+++ b/core/wqconfig/timing.go
@@ -24,7 +24,7 @@
 		MaxBackoff: 5 * time.Second,
 		WatchWait:  3 * time.Second,
 		Pause:      50 * time.Millisecond,
-		ReadEvery:  3 * time.Second,
+		ReadEvery:  2 * time.Second,
 		ReadRate:   1024,
 		Idle:       time.Second,
 		Witnesses:  2,
--- a/core/wqnote/edit.go
+++ b/core/wqnote/edit.go
@@ -39,6 +39,9 @@
 		f.add(found, fmt.Sprintf("%s %v is added but exists", noun, key(e)), "change it instead, or choose another name")
 		next = append(next, e)
 	}
+	if len(next) == 0 {
+		return nil // Equal topologies have equal lists, whatever led to them.
+	}
 	return next
 }
 
--- /dev/null
+++ b/test/wqpublish/fleet_test.go
@@ -0,0 +1,256 @@
+package wqpublish_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqhistory"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqnote"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+	"wisteriaquay/io/wqdocument"
+	"wisteriaquay/io/wqfollow"
+	"wisteriaquay/io/wqhead"
+	"wisteriaquay/io/wqloop"
+	"wisteriaquay/io/wqoperator"
+	"wisteriaquay/io/wqpb"
+	"wisteriaquay/io/wqrefusal"
+	"wisteriaquay/io/wqstore"
+	"wisteriaquay/test/wqstorestand"
+)
+
+const (
+	heartbeat    = 500 * time.Millisecond
+	storeTimeout = 300 * time.Millisecond
+	bound        = 7 * time.Second // bound is the longest time from acceptance until a change is in force everywhere.
+)
+
+type (
+	machine  = wqconfig.Machine[wqconfig.PerZone]
+	follower = wqfollow.Follower[*wqstore.Client, *fleet]
+	operator = wqoperator.Operator[*wqstore.Client, *fleet]
+)
+
+// fleet runs the configuration side of VMs against one store stand-in over
+// HTTP. Peers reach each other by calls; membership is given.
+type fleet struct {
+	store  *wqstorestand.Server
+	client *wqstore.Client
+	mu     sync.RWMutex
+	nodes  map[string]*node
+	bytes  atomic.Int64 // bytes counts what peers sent each other of configuration.
+}
+
+// node is one VM.
+type node struct {
+	*machine
+	fleet    *fleet
+	self     wqmember.Member
+	loop     *wqloop.Loop[wqconfig.Event]
+	follower *follower
+	history  atomic.Pointer[wqhistory.History]
+	stop     context.CancelFunc
+	operator *operator
+	nextBeat time.Time
+	deaf     atomic.Bool // deaf drops what peers say, as for a VM that is cut off.
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := &fleet{store: &wqstorestand.Server{}, nodes: map[string]*node{}}
+	server := httptest.NewServer(f.store.Handler())
+	f.client = &wqstore.Client{Address: server.URL, Timeout: storeTimeout, HTTP: server.Client()}
+	t.Cleanup(func() {
+		for id := range f.members() {
+			f.kill(id)
+		}
+		server.Close()
+	})
+	for i := range size {
+		f.boot(fmt.Sprintf("vm%d", i), fmt.Sprintf("z%d", i%3))
+	}
+	return f
+}
+
+func (f *fleet) boot(id, zone string) *node {
+	self := wqmember.Member{ID: id, Address: id, Zone: zone, Epoch: uint64(time.Now().UnixNano())}
+	n := &node{
+		fleet: f, self: self, loop: wqloop.New[wqconfig.Event](256),
+		machine: &machine{
+			Self: self, Policy: wqconfig.PerZone{Count: 2}, Timing: wqconfig.DefaultTiming(),
+			Random: rand.New(rand.NewPCG(self.Epoch, 1)),
+		},
+		follower: &follower{Head: &wqhead.Head[*wqstore.Client]{Store: f.client}, Peers: f, FetchTimeout: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler)},
+	}
+	n.operator = &operator{
+		Head: n.follower.Head, Peers: f, View: n.view, Submit: n.loop.Post, StoreReachable: func() bool { return true },
+		Check: func(token string) error {
+			if token != "Bearer secret" {
+				return wqfault.New(wqfault.Denied, "no", "send a token")
+			}
+			return nil
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.loop.Handle = n.Handle
+	n.loop.Settle = func(now time.Time) time.Time { return n.settle(ctx, now) }
+	n.Start(time.Now())
+	f.mu.Lock()
+	f.nodes[id] = n
+	f.mu.Unlock()
+	go n.loop.Run(ctx)
+	return n
+}
+
+// kill ends a VM without a word.
+func (f *fleet) kill(id string) {
+	f.mu.Lock()
+	n := f.nodes[id]
+	delete(f.nodes, id)
+	f.mu.Unlock()
+	n.stop()
+	<-n.loop.Done()
+}
+
+func (f *fleet) members() map[string]wqmember.Member {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	members := map[string]wqmember.Member{}
+	for id, n := range f.nodes {
+		m := n.self
+		if !n.deaf.Load() {
+			m.Revision = n.history.Load().Revision()
+		}
+		members[id] = m
+	}
+	return members
+}
+
+func (f *fleet) at(id string) *node {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.nodes[id]
+}
+
+// settle is what a VM's control loop does after each event.
+func (n *node) settle(ctx context.Context, now time.Time) time.Time {
+	if !now.Before(n.nextBeat) {
+		n.nextBeat = now.Add(heartbeat)
+		var members []wqmember.Member
+		for _, m := range n.fleet.members() {
+			members = append(members, m)
+		}
+		n.SetMembers(now, members)
+	}
+	for _, a := range n.Tick(now) {
+		if announce, ok := a.(wqconfig.Announce); ok {
+			n.history.Store(n.History())
+			n.announce(announce.Revision)
+			continue
+		}
+		go func() { n.loop.Post(ctx, n.follower.Do(ctx, a)) }()
+	}
+	next := n.Next()
+	if n.nextBeat.Before(next) {
+		next = n.nextBeat
+	}
+	return next
+}
+
+// announce tells a few peers, as membership does with urgent news.
+func (n *node) announce(revision uint64) {
+	told := 0
+	for id := range n.fleet.members() {
+		if p := n.fleet.at(id); p != nil && p != n && !p.deaf.Load() && told < 4 {
+			told++
+			p.loop.Offer(wqconfig.Heard{Peer: n.self.ID, Revision: revision})
+		}
+	}
+}
+
+func (n *node) view() *wqview.View {
+	t := &wqtopology.Topology{}
+	if h := n.history.Load(); h != nil {
+		t = h.Topology
+	}
+	return &wqview.View{Self: n.self, Index: wqtopology.NewIndex(t), Members: n.fleet.members()}
+}
+
+// PeerClient returns a VM's peer service.
+func (f *fleet) PeerClient(address string) wqpb.PeerService {
+	return &peerService{fleet: f, id: address}
+}
+
+type peerService struct {
+	wqpb.PeerService
+
+	fleet *fleet
+	id    string
+}
+
+func (p *peerService) Configuration(_ context.Context, r *wqpb.ConfigurationRequest) (*wqpb.ConfigurationResponse, error) {
+	n := p.fleet.at(p.id)
+	if n == nil || n.deaf.Load() {
+		return nil, wqfault.New(wqfault.Unavailable, "unreachable", "try another")
+	}
+	a, err := wqfollow.Answer(n.history.Load(), r)
+	for _, note := range a.GetNotes() {
+		p.fleet.bytes.Add(int64(len(note)))
+	}
+	p.fleet.bytes.Add(int64(len(a.GetTopology())))
+	return a, err
+}
+
+// publish sends a note to a VM's operator service.
+func (n *node) publish(ctx context.Context, note *wqnote.Note, wait time.Duration) (*wqpb.PublishResponse, error) {
+	data, err := wqdocument.EncodeNote(note)
+	if err != nil {
+		return nil, err
+	}
+	r := connect.NewRequest(&wqpb.PublishRequest{Note: data, WaitMillis: uint32(wait.Milliseconds())})
+	r.Header().Set("Authorization", "Bearer secret")
+	response, err := n.operator.Publish(ctx, r)
+	if err != nil {
+		return nil, wqrefusal.From(err)
+	}
+	return response.Msg, nil
+}
+
+// first is the note that fills an empty configuration.
+func first() *wqnote.Note {
+	n := &wqnote.Note{ID: "first", Added: wqnote.Entries{
+		Layouts: []wqtopology.Layout{{Service: "bench", FirstSnapshot: 1, Shards: []string{"b1"}}},
+	}}
+	for i := range 3 {
+		zone := fmt.Sprintf("z%d", i)
+		n.Added.Zones = append(n.Added.Zones, wqtopology.Zone{ID: zone, Region: "r"})
+		n.Added.Searchers = append(n.Added.Searchers, wqtopology.Searcher{
+			ID: "s" + zone, Address: fmt.Sprintf("10.0.0.%d:9000", i+1), Zone: zone, Service: "bench", Shard: "b1", Slots: 3, Connections: 30,
+		})
+	}
+	return n
+}
+
+// started returns a fleet with a configuration in force.
+func started(t *testing.T, size int) *fleet {
+	t.Helper()
+	f := newFleet(t, size)
+	r, err := f.at("vm0").publish(t.Context(), first(), bound)
+	must.NoError(t, err)
+	must.Eq(t, uint32(size), r.GetVmsInForce(), must.Sprintf("not heard: %v", r.GetVmsNotHeard()))
+	return f
+}
