Close a searcher's connections outside the holder's lock

Cause: a VM that stopped, or whose zone went out, hung for good. forget held the lock while the client closed connections; each one that closed called Suspect, which waits for the same lock. Found by the stops tests: 'vm1 runs on 9 s after its signal'; a dump of goroutines shows the two waits. Change: the lanes are dropped under the lock, the connections closed after it. Before: TestForgetMayTellOfLostConnections hangs until it is killed (60 s). After: it passes; a stopped VM of three exits at once after 'stopped'.

--- a/io/wqholder/keep.go
+++ b/io/wqholder/keep.go
@@ -92,14 +92,24 @@
 // forget drops the lanes of searchers that may not be sent anything, so that
 // they count as cold when they come back.
 func (h *Holder[C, P]) forget(v *wqview.View) {
+	for _, id := range h.drop(v) {
+		h.Client.Forget(id)
+	}
+}
+
+// drop removes these lanes and returns their searchers. The connections are
+// closed outside the lock, since each one that closes may call Suspect.
+func (h *Holder[C, P]) drop(v *wqview.View) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var dropped []string
 	for id, l := range h.lanes {
 		status := h.check(v, id, time.Now())
 		if (status == wqreport.NotHeld || status == wqreport.ZoneOut) && l.idle() {
 			l.stop()
 			delete(h.lanes, id)
-			h.Client.Forget(id)
+			dropped = append(dropped, id)
 		}
 	}
+	return dropped
 }
