Keep the shares of all VMs within limits while views differ

Cause: a VM used its share by its own view of the fleet, so that two VMs whose views differ could use more than a searcher's slots together. Random fleets (3 to 8 VMs; loss, delay, doubles, freezes, restarts, replacements, leaves, splits) found these ways, each red before its change: - a VM took its own share while a dead or cut-off one still used it: shares are now computed over all VMs that may still use one, shrink at once and grow after the handover time of 10 s; - a VM that started in a cut-off pocket, or came back there, gave the pocket a majority: a VM now says in its heartbeats that it takes itself for cut off and is then no witness; it is back when most witnesses were heard for 2 s, or, where no one works, when all VMs known and listed are heard (most of them after 30 s); - a reply or a whole list that waited while the process was frozen made the view look fresh at once: freshness counts from when the answered message was sent, and a list counts only when it was asked for after the pause; - a replaced VM's heartbeats were answered by its successor at the address, so that it never died: an answer under another id ends it.

The lag between pause and clocks is judged by the clock that shows more, as a paused VM's monotonic clock may stand still.

--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -98,10 +98,10 @@
 	case HeartbeatSeen:
 		return Output{Reply: c.members.Receive(now, e.Message)}
 	case HeartbeatAnswered:
-		c.members.Ack(now, e.ID, e.Reply)
+		c.members.Ack(now, wqmember.Send{To: wqmember.Member{ID: e.ID}, At: e.SentAt}, e.Reply)
 		c.freshness.Confirm(e.SentAt)
 	case HeartbeatFailed:
-		c.members.Failed(now, e.ID)
+		c.members.Failed(now, wqmember.Send{To: wqmember.Member{ID: e.ID}})
 	case ConfigurationSeen:
 		c.config.Handle(now, e.Event)
 	case TargetSeen:
--- a/core/wqhold/hold.go
+++ b/core/wqhold/hold.go
@@ -54,7 +54,7 @@
 	if v.Isolated || now.Before(h.From) {
 		return false
 	}
-	return now.Sub(v.FreshAt) < FreshFor
+	return wqmember.Elapsed(v.FreshAt, now) < FreshFor
 }
 
 // Assign returns the holders of a searcher, best first, with their shares, as
--- /dev/null
+++ b/core/wqhold/table_test.go
@@ -0,0 +1,204 @@
+package wqhold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqhold"
+	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/core/wqview"
+)
+
+const handover = 10 * time.Second
+
+var start = time.Date(2026, 1, 2, 3, 0, 0, 0, time.UTC)
+
+// vms returns VMs that started long ago, spread over three zones a region.
+func vms(count int) []wqmember.Member {
+	members := make([]wqmember.Member, count)
+	for i := range members {
+		members[i] = wqmember.Member{
+			ID: fmt.Sprintf("vm-%d", i), Zone: fmt.Sprintf("z%d", i%9), Region: fmt.Sprintf("r%d", i%3),
+			Epoch: uint64(start.Add(-time.Hour).UnixMilli()),
+		}
+	}
+	return members
+}
+
+func index(searchers int) *wqtopology.Index {
+	t := &wqtopology.Topology{Revision: 1}
+	for i := range 9 {
+		t.Zones = append(t.Zones, wqtopology.Zone{ID: fmt.Sprintf("z%d", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	for i := range searchers {
+		t.Searchers = append(t.Searchers, wqtopology.Searcher{
+			ID: fmt.Sprintf("s%d", i), Zone: fmt.Sprintf("z%d", i%9), Slots: 3, Connections: 30, ColdSlots: 1,
+		})
+	}
+	return wqtopology.NewIndex(t)
+}
+
+func settled(in wqhold.Input) (*wqhold.Table, time.Time) {
+	t := &wqhold.Table{Limits: wqhold.Limits{MaxHolders: 3}, Handover: handover}
+	t.Update(start, in)
+	return t, start.Add(time.Minute)
+}
+
+func ids(holders []wqview.Holder) []string {
+	names := make([]string, 0, len(holders))
+	for _, h := range holders {
+		names = append(names, h.MemberID)
+	}
+	return names
+}
+
+func Example() {
+	members := []wqmember.Member{{ID: "vm-a", Zone: "mendoza-1"}, {ID: "vm-b", Zone: "mendoza-1"}}
+	topology := &wqtopology.Topology{Revision: 1, Searchers: []wqtopology.Searcher{
+		{ID: "bench-1", Zone: "mendoza-1", Slots: 3, Connections: 30, ColdSlots: 1},
+	}}
+	table := wqhold.Table{Limits: wqhold.Limits{MaxHolders: 3}, Handover: 10 * time.Second}
+	holders := table.Update(time.Unix(1000, 0), wqhold.Input{
+		Self: members[0], Members: members, Index: wqtopology.NewIndex(topology),
+	})
+	for _, h := range holders["bench-1"] {
+		fmt.Println(h.MemberID, h.Slots, h.Connections, h.ColdSlots)
+	}
+	// Output:
+	// vm-b 1 15 0
+	// vm-a 2 15 1
+}
+
+func TestHoldersAreInTheZoneThenTheRegionThenAnywhere(t *testing.T) {
+	members := vms(27)
+	x := index(9)
+	in := wqhold.Input{Self: members[1], Members: members, Index: x}
+	keep := func(match func(m wqmember.Member) bool) {
+		for i := range members {
+			if members[i].ID != in.Self.ID && !match(members[i]) {
+				members[i].State = wqmember.Left
+			}
+		}
+	}
+	table, now := settled(in)
+	zone := func(id string) string { return members[index0(id)].Zone }
+	region := func(id string) string { return members[index0(id)].Region }
+	for _, id := range ids(table.Update(now, in)["s0"]) {
+		must.EqOp(t, "z0", zone(id))
+	}
+	keep(func(m wqmember.Member) bool { return m.Zone != "z0" })
+	for _, id := range ids(table.Update(now, in)["s0"]) {
+		must.EqOp(t, "r0", region(id), must.Sprint("a zone without VMs falls back to its region"))
+	}
+	keep(func(m wqmember.Member) bool { return m.Region != "r0" })
+	must.SliceLen(t, 3, table.Update(now, in)["s0"], must.Sprint("a region without VMs falls back to all"))
+}
+
+func index0(id string) int {
+	var i int
+	_, _ = fmt.Sscanf(id, "vm-%d", &i)
+	return i
+}
+
+func TestDeadRegionIsNotTakenOver(t *testing.T) {
+	members := vms(9)
+	in := wqhold.Input{Self: members[1], Members: members, Index: index(9)}
+	table, now := settled(in)
+	for i := range members {
+		if members[i].Region == "r0" {
+			members[i].State = wqmember.Dead
+		}
+	}
+	for range 10 {
+		now = now.Add(time.Minute)
+		must.SliceEmpty(t, table.Update(now, in)["s0"], must.Sprint("a region out of reach may still run"))
+	}
+}
+
+func TestRaisedLimitWaitsAndLoweredLimitHoldsAtOnce(t *testing.T) {
+	members := vms(1)
+	in := wqhold.Input{Self: members[0], Members: members, Index: index(1)}
+	table, now := settled(in)
+	slots := func() int { return table.Update(now, in)["s0"][0].Slots }
+	change := func(slots int) {
+		next := *in.Index.Topology
+		next.Revision++
+		next.Searchers = []wqtopology.Searcher{next.Searchers[0]}
+		next.Searchers[0].Slots = slots
+		in.Index = wqtopology.NewIndex(&next)
+	}
+	change(2)
+	must.EqOp(t, 2, slots())
+	now = now.Add(time.Minute)
+	change(5)
+	must.EqOp(t, 2, slots(), must.Sprint("a raised limit must wait until all VMs have it"))
+	must.EqOp(t, now.Add(handover), table.Next())
+	now = table.Next()
+	must.EqOp(t, 5, slots())
+}
+
+func TestMovedSearcherRestsBeforeItsNewHoldersUseIt(t *testing.T) {
+	members := vms(2)
+	in := wqhold.Input{Self: members[1], Members: members, Index: index(1)}
+	table, now := settled(in)
+	must.Eq(t, []string{"vm-0"}, ids(table.Update(now, in)["s0"]))
+	next := *in.Index.Topology
+	next.Revision++
+	next.Searchers = []wqtopology.Searcher{next.Searchers[0]}
+	next.Searchers[0].Zone = "z1"
+	in.Index = wqtopology.NewIndex(&next)
+	must.SliceEmpty(t, table.Update(now, in)["s0"])
+	now = now.Add(handover)
+	must.Eq(t, []string{"vm-1"}, ids(table.Update(now, in)["s0"]))
+}
+
+func TestUsable(t *testing.T) {
+	v := &wqview.View{FreshAt: start}
+	must.True(t, wqhold.Usable(v, wqview.Holder{}, start.Add(wqhold.FreshFor-1)))
+	must.False(t, wqhold.Usable(v, wqview.Holder{}, start.Add(wqhold.FreshFor)), must.Sprint("an old view"))
+	must.False(t, wqhold.Usable(v, wqview.Holder{From: start.Add(2)}, start.Add(1)), must.Sprint("a share that rests"))
+	must.False(t, wqhold.Usable(&wqview.View{FreshAt: start, Isolated: true}, wqview.Holder{}, start))
+}
+
+func TestDeadHolderGetsNoWork(t *testing.T) {
+	members := vms(27)
+	in := wqhold.Input{Self: members[1], Members: members, Index: index(9)}
+	table, now := settled(in)
+	first := ids(table.Update(now, in)["s0"])[0]
+	members[index0(first)].State = wqmember.Dead
+	must.SliceNotContains(t, ids(table.Update(now, in)["s0"]), first)
+	members[index0(first)].State = wqmember.Leaving
+	must.EqOp(t, first, ids(table.Update(now, in)["s0"])[2], must.Sprint("a leaving VM is asked last"))
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{8, 50, 200, 920} {
+		members := vms(n)
+		in := wqhold.Input{Self: members[0], Members: members, Index: index(7100)}
+		b.Run(fmt.Sprintf("first/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				settled(in)
+			}
+		})
+		b.Run(fmt.Sprintf("one-leaves/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			table, now := settled(in)
+			for i := 0; b.Loop(); i++ {
+				members[n-1].State = []wqmember.State{wqmember.Leaving, wqmember.Alive}[i%2]
+				table.Update(now, in)
+			}
+		})
+		b.Run(fmt.Sprintf("unchanged/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			table, now := settled(in)
+			for b.Loop() {
+				table.Update(now, in)
+			}
+		})
+	}
+}
--- a/core/wqmember/fleet_test.go
+++ b/core/wqmember/fleet_test.go
@@ -22,7 +22,7 @@
 	loss   float64                                 // loss is the share of messages lost, each way.
 	double float64                                 // double is the share of messages delivered again, up to 2 s later.
 	late   time.Duration                           // late is the most that a message takes, each way.
-	cut    func(a, b string) bool                  // cut reports whether a and b can't reach each other.
+	cut    func(a, b string) bool                  // cut reports whether the addresses a and b can't reach each other.
 	filter func(wqmember.Message) wqmember.Message // filter changes messages on the way.
 	after  func(n *node)                           // after runs whenever a machine has handled something.
 }
@@ -170,28 +170,28 @@
 func (f *fleet) deliver(from *node, s wqmember.Send) {
 	to := f.nodeAt(s.To.Address)
 	failAt := f.now.Add(f.timing.AckTimeout)
-	life, fromID := from.life, from.Self.ID
+	life, source := from.life, from.Self.Address
 	answered := false
 	f.at(failAt, func() {
 		if from.life == life && !answered {
 			answered = true
-			f.do(from, func() { from.Failed(f.now, s.To.ID) })
+			f.do(from, func() { from.Failed(f.now, s) })
 		}
 	})
-	if to == nil || f.cut(fromID, to.Self.ID) || f.random.Float64() < f.loss {
+	if to == nil || f.cut(source, s.To.Address) || f.random.Float64() < f.loss {
 		return
 	}
 	message := f.filter(s.Message)
 	f.at(f.now.Add(f.delay()), func() {
 		f.do(to, func() {
 			reply := f.filter(to.Receive(f.now, message))
-			if f.cut(fromID, to.Self.ID) || f.random.Float64() < f.loss {
+			if f.cut(source, s.To.Address) || f.random.Float64() < f.loss {
 				return
 			}
 			f.at(f.now.Add(f.delay()), func() {
 				if from.life == life && !answered {
 					answered = true
-					f.do(from, func() { from.Ack(f.now, s.To.ID, reply) })
+					f.do(from, func() { from.Ack(f.now, s, reply) })
 				}
 			})
 		})
--- a/core/wqmember/isolation.go
+++ b/core/wqmember/isolation.go
@@ -1,20 +1,38 @@
 package wqmember
 
-// Isolated reports whether this VM may be cut off from its region: fewer than
-// half of the VMs there that it last knew alive are alive without suspicion
-// (at just half, the side with the least id goes on), or fewer than a quarter
-// of those that it sent messages to lately have answered. A VM that is alone
-// is not isolated. After a pause it is, until a peer has sent its whole list.
-func (m *Machine) Isolated() bool { return m.isolated }
+// Isolated reports whether this VM may be cut off from the VMs of its region
+// that are at work; it starts like that. It says so in its heartbeats, and a VM
+// that does is no witness for others.
+//
+// A VM becomes isolated when fewer than half of the witnesses that it last knew
+// alive are alive without suspicion, itself included, or when fewer than a
+// quarter of the VMs that it sent messages to lately have answered. It is back
+// when more than half of the witnesses are heard for Timing.Settle, or, where no one is at work,
+// when all VMs that it knows or that the VM list shows are heard; after
+// Timing.Patience most of them are enough. At exactly half, the side with the
+// least id goes on.
+func (m *Machine) Isolated() bool { return m.Self.Isolated }
 
 func (m *Machine) judgeIsolation() {
-	isolated := m.minority() || m.unanswered() || m.behind()
-	if isolated == m.isolated {
+	isolated := m.unanswered() || m.outvoted()
+	if isolated == m.Self.Isolated {
 		return
 	}
-	m.isolated = isolated
-	m.isolatedAt = m.now
-	m.version++
+	m.Self.Isolated = isolated
+	if isolated {
+		m.isolatedAt = m.now
+	}
+	m.raise(m.Self.Incarnation)
+}
+
+func (m *Machine) outvoted() bool {
+	if !m.Self.Isolated {
+		return (m.paused && !m.synced) || !m.witnesses().majority()
+	}
+	if m.rejoins() {
+		return false
+	}
+	return !m.begins()
 }
 
 // census counts the VMs of this VM's region.
@@ -35,39 +53,112 @@
 	}
 }
 
-func (m *Machine) minority() bool {
-	var c census
+func (c *census) majority() bool {
+	if 2*c.heard == c.total {
+		return c.total > 0 && c.holds
+	}
+	return 2*c.heard > c.total
+}
+
+// witnesses counts the VMs that may be at work. Those that are heard and take
+// themselves for cut off don't count; those not heard may have taken up work.
+func (m *Machine) witnesses() *census {
+	c := &census{}
+	if !m.Self.Isolated {
+		c.count(m.Self.ID, true)
+	}
+	for _, p := range m.peers {
+		aside := p.Isolated && p.heard()
+		if m.counts(p) && !aside {
+			c.count(p.ID, p.heard())
+		}
+	}
+	return c
+}
+
+// rejoins reports whether most witnesses have been heard by this isolated VM
+// for long enough that they know of it.
+func (m *Machine) rejoins() bool {
+	c := m.witnesses()
+	m.countUnknown(c)
+	if !m.synced || c.heard == 0 || !c.majority() {
+		m.rejoinAt = m.now.Add(m.Timing.Settle)
+		return false
+	}
+	return !m.now.Before(m.rejoinAt)
+}
+
+// begins reports whether the VMs that are heard may take up work though no
+// witness is known: all VMs are there, or most of them for long enough.
+func (m *Machine) begins() bool {
+	shown := m.listedSelf || m.now.Sub(m.resetAt) > m.Timing.ListLag
+	if !shown {
+		return false
+	}
+	c := &census{}
 	c.count(m.Self.ID, true)
 	for _, p := range m.peers {
-		if p.Region != m.Self.Region || !m.counts(p) {
-			continue
+		if m.counts(p) {
+			c.count(p.ID, p.heard() && m.confirmed(p))
 		}
-		c.count(p.ID, p.State != Suspect && p.State != Dead)
 	}
+	m.countUnknown(c)
+	if m.now.Sub(m.isolatedAt) > m.Timing.Patience {
+		return c.majority()
+	}
+	return c.heard == c.total
+}
+
+// heard reports whether a VM is alive without suspicion.
+func (p *peer) heard() bool { return p.State == Alive || p.State == Leaving }
+
+// confirmed reports whether a VM has shown itself since the start or the last
+// pause of this one. After a pause only an answer counts, since messages that
+// waited meanwhile may be old.
+func (m *Machine) confirmed(p *peer) bool {
+	return !m.paused || !p.ackedAt.Before(m.resetAt)
+}
+
+// countUnknown counts the listed VMs that never answered as not heard.
+func (m *Machine) countUnknown(c *census) {
 	for _, l := range m.unknown() {
 		if l.Region == m.Self.Region {
 			c.count(l.ID, false)
 		}
 	}
-	if 2*c.heard == c.total {
-		return !c.holds
-	}
-	return 2*c.heard < c.total
 }
 
-// counts reports whether a VM belongs to those last known alive. The dead ones
-// drop out after the handover time, but not while this VM is isolated.
+// counts reports whether a VM of this region belongs to those last known
+// alive. The dead ones drop out after the handover time, but not while this VM
+// is isolated; then they drop out when the VM list has dropped them too.
 func (m *Machine) counts(p *peer) bool {
+	if p.Region != m.Self.Region || p.State == Left || m.delisted(p) {
+		return false
+	}
 	if p.State != Dead {
-		return p.State.Live()
+		return true
 	}
 	at := m.now
-	if m.isolated {
+	if m.Self.Isolated {
 		at = m.isolatedAt
 	}
 	return at.Sub(p.changedAt) < m.Timing.Handover
 }
 
+// delisted reports whether a VM has not been heard for longer than the VM list
+// lags, and the list does not show it.
+func (m *Machine) delisted(p *peer) bool {
+	if p.heard() || m.now.Sub(p.changedAt) < m.Timing.ListLag || m.seededAt.Before(p.changedAt.Add(m.Timing.ListLag)) {
+		return false
+	}
+	for _, l := range m.listed {
+		if l.ID == p.ID || l.Address == p.Address {
+			return false
+		}
+	}
+	return true
+}
+
 // unanswered reports whether hardly any recent message to the region got an answer.
 func (m *Machine) unanswered() bool {
 	since := m.now.Add(-m.Timing.Isolation)
@@ -86,17 +177,3 @@
 	}
 	return tried > 0 && 4*answered < tried
 }
-
-// behind reports whether this VM woke from a pause or started, and has not
-// had a list since although others live.
-func (m *Machine) behind() bool {
-	if m.synced {
-		return false
-	}
-	for _, p := range m.peers {
-		if p.State.Live() {
-			return true
-		}
-	}
-	return false
-}
--- a/core/wqmember/machine.go
+++ b/core/wqmember/machine.go
@@ -17,6 +17,7 @@
 
 	peers      map[string]*peer // peers are the other VMs, by id, dead and left ones included.
 	listed     []Listed         // listed is the VM list without this VM.
+	seededAt   time.Time        // seededAt is when the VM list last came; zero is never.
 	listedSelf bool             // listedSelf is true once the VM list has shown this VM.
 	leavingOld bool             // leavingOld is true once the VM list has shown a leaving VM.
 	rumours    map[string]*rumour
@@ -28,26 +29,30 @@
 	version    uint64
 
 	now          time.Time // now is the time of the latest call.
-	evidenceAt   time.Time // evidenceAt is when a peer was last heard from.
+	evidenceAt   time.Time // evidenceAt is when the last message that a peer answered was sent.
 	nextPing     time.Time
 	nextFlood    time.Time
 	nextContact  time.Time
 	nextRequest  time.Time // nextRequest is when the next whole list may be asked for.
 	nextAnswer   time.Time // nextAnswer is the earliest time of the next whole list sent, less a burst.
 	raisedAt     time.Time
-	synced       bool // synced is true once a whole list came since the start or the last pause.
-	urgent       bool // urgent is true while news waits for a flood.
-	isolated     bool
-	isolatedAt   time.Time
+	resetAt      time.Time // resetAt is the start or the end of the last pause.
+	synced       bool      // synced is true once a whole list came since the start or the last pause.
+	paused       bool      // paused is true once the process was paused.
+	urgent       bool      // urgent is true while news waits for a flood.
+	rejoinAt     time.Time // rejoinAt is when this isolated VM may be back, if it goes on hearing the others.
+	isolatedAt   time.Time // isolatedAt is when this VM last began to take itself for cut off.
 	ringsChanged bool
 }
 
 // peer is another VM.
 type peer struct {
 	Member
-	heardAt    time.Time // heardAt is the last message from it.
+	heardAt    time.Time // heardAt is when its last message came.
+	ackedAt    time.Time // ackedAt is when the last message that it answered was sent.
 	pingedAt   time.Time // pingedAt is the last heartbeat to it.
 	failedAt   time.Time // failedAt is the last message that it did not answer.
+	bornAt     time.Time // bornAt is when this VM learned of it, or that it is back.
 	changedAt  time.Time // changedAt is the last change of its state, by this VM's clock.
 	differsAt  time.Time // differsAt is when its digest began to differ; zero while it agrees.
 	introduced bool      // introduced is true once it is sure to know this VM's address.
@@ -61,7 +66,8 @@
 	m.checks = make(map[string]check)
 	m.relays = make(map[string][]relay)
 	m.now, m.nextPing, m.nextFlood, m.nextContact = now, now, now, now
-	m.nextRequest, m.nextAnswer = now, now
+	m.nextRequest, m.nextAnswer, m.resetAt, m.isolatedAt = now, now, now, now
+	m.Self.Isolated = true
 	m.Self.Incarnation = max(m.Self.Incarnation, m.Self.Epoch)
 	m.digest = fingerprint(m.Self)
 }
@@ -111,23 +117,26 @@
 	return reply
 }
 
-// Ack handles the reply to a message that was sent to the VM with this id.
-// When another VM answers at its address, its process is gone.
-func (m *Machine) Ack(now time.Time, id string, reply Message) {
+// Ack handles the reply to a message. When another VM answers at an address,
+// the process that was there is gone.
+func (m *Machine) Ack(now time.Time, sent Send, reply Message) {
 	m.observe(now)
-	if reply.From.ID == "" || reply.From.ID == m.Self.ID {
+	from := reply.From.ID
+	if from == "" || from == m.Self.ID {
 		return
 	}
-	if p := m.peers[id]; p != nil && id != reply.From.ID {
+	if p := m.peers[sent.To.ID]; p != nil && p.ID != from {
 		m.worsen(p, Left)
 	}
+	m.evidenceAt = later(m.evidenceAt, sent.At)
 	m.takeIn(reply)
-	from := reply.From.ID
 	if p := m.peers[from]; p != nil {
+		p.ackedAt = later(p.ackedAt, sent.At)
 		p.introduced = true
 	}
 	if reply.Whole {
 		m.compare(reply)
+		m.synced = m.synced || !sent.At.Before(m.resetAt)
 	}
 	if reply.Joining {
 		m.introduce(from)
@@ -135,10 +144,10 @@
 	m.answerRelays(from)
 }
 
-// Failed handles a message that the VM with this id did not answer in time.
-func (m *Machine) Failed(now time.Time, id string) {
+// Failed handles a message that was not answered in time.
+func (m *Machine) Failed(now time.Time, sent Send) {
 	m.observe(now)
-	if p := m.peers[id]; p != nil && p.State.Live() {
+	if p := m.peers[sent.To.ID]; p != nil && p.State.Live() {
 		p.failedAt = now
 		m.check(p)
 	}
@@ -200,8 +209,9 @@
 // Version grows with every change that Members shows.
 func (m *Machine) Version() uint64 { return m.version }
 
-// FreshAt returns when a peer was last heard from, or the time of the latest
-// call while there is no other live VM.
+// FreshAt returns when the last message that a peer answered was sent, or the
+// time of the latest call while there is no other live VM. When messages came in
+// does not count: they may have waited while this process was paused.
 func (m *Machine) FreshAt() time.Time {
 	for _, p := range m.peers {
 		if p.State.Live() {
@@ -213,7 +223,7 @@
 
 // observe moves the clock on and notices that the process was paused.
 func (m *Machine) observe(now time.Time) {
-	gap := now.Sub(m.now)
+	gap := Elapsed(m.now, now)
 	if gap <= 0 {
 		return
 	}
@@ -223,7 +233,8 @@
 	}
 	clear(m.checks)
 	clear(m.relays)
-	m.synced = false
+	m.synced, m.paused = false, true
+	m.resetAt = now
 	for _, p := range m.peers {
 		p.failedAt = time.Time{}
 		p.changedAt = p.changedAt.Add(gap)
@@ -246,9 +257,22 @@
 	return m.neighbours
 }
 
+// Elapsed returns the time from one moment to another by the clock that shows
+// more: a VM that its host pauses may find that its monotonic clock stood still.
+func Elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.IsZero() || a.Before(b) {
 		return a
 	}
 	return b
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/wqmember/machine_test.go
+++ b/core/wqmember/machine_test.go
@@ -218,7 +218,7 @@
 func split(f *fleet, minority int) {
 	side := make(map[string]bool)
 	for _, n := range f.nodes[:minority] {
-		side[n.Self.ID] = true
+		side[n.Self.Address] = true
 	}
 	f.cut = func(a, b string) bool { return side[a] != side[b] }
 }
@@ -260,7 +260,7 @@
 
 func TestBootCutOffFromListedVMsIsIsolated(t *testing.T) {
 	f := joined(t, 4, 11)
-	f.cut = func(a, b string) bool { return a == "vm-4" || b == "vm-4" }
+	f.cut = func(a, b string) bool { return a == "10.0.0.4:70" || b == "10.0.0.4:70" }
 	f.nodes = append(f.nodes, &node{})
 	f.start(4, "vm-4")
 	f.run(30 * time.Second)
@@ -279,7 +279,7 @@
 	f.nodes[6].running = false
 	f.run(8 * time.Second)
 	must.Greater(t, 3*time.Second, f.now.Sub(n.FreshAt()), must.Sprint("the frozen VM's own state must be stale"))
-	f.cut = func(a, b string) bool { return a == "vm-1" || b == "vm-1" }
+	f.cut = func(a, b string) bool { return a == "10.0.0.1:70" || b == "10.0.0.1:70" }
 	f.wake(n)
 	f.run(20 * time.Millisecond)
 	must.True(t, n.Isolated(), must.Sprint("a VM that wakes must be isolated until a peer has sent its list"))
--- a/core/wqmember/member.go
+++ b/core/wqmember/member.go
@@ -19,9 +19,11 @@
 //	for _, s := range m.Tick(now) { ... }
 //
 // It calls Tick again at Next, and after each Receive, Ack and Failed. Each
-// Send ends in one Ack or one Failed, the latter after Timing.AckTimeout.
+// Send goes back in one Ack or one Failed, the latter after Timing.AckTimeout.
 package wqmember
 
+import "time"
+
 // State is what is believed of a VM.
 type State uint8
 
@@ -46,6 +48,7 @@
 	Incarnation uint64 // Incarnation grows at every start and every refuted suspicion; it starts as the epoch.
 	Epoch       uint64 // Epoch is the start of the process in Unix milliseconds; tickets name it.
 	State       State
+	Isolated    bool   // Isolated is true while it takes itself for cut off; each change comes with a higher incarnation.
 	Revision    uint64 // Revision is the configuration it last reported in force.
 }
 
@@ -77,6 +80,7 @@
 // answers when only its address is known.
 type Send struct {
 	To      Member
+	At      time.Time // At is when the machine asked for it to be sent.
 	Message Message
 }
 
--- a/core/wqmember/merge.go
+++ b/core/wqmember/merge.go
@@ -8,7 +8,6 @@
 
 // takeIn merges what a peer says of itself and of others.
 func (m *Machine) takeIn(message Message) {
-	m.evidenceAt = m.now
 	m.apply(message.From, true)
 	if p := m.peers[message.From.ID]; p != nil {
 		p.heardAt = m.now
@@ -50,7 +49,7 @@
 	if len(m.peers) >= m.Timing.Members || (c.State.Live() && c.Address == "") {
 		return
 	}
-	p := &peer{Member: c, changedAt: m.now, hearsay: !c.State.Live()}
+	p := &peer{Member: c, bornAt: m.now, changedAt: m.now, hearsay: !c.State.Live()}
 	m.peers[c.ID] = p
 	m.digest ^= fingerprint(c)
 	m.version++
@@ -83,6 +82,7 @@
 		p.changedAt = m.now
 	}
 	if c.State.Live() != before.State.Live() {
+		p.bornAt = m.now
 		m.ringsChanged = true
 	}
 	if restarted {
--- a/core/wqmember/probe.go
+++ b/core/wqmember/probe.go
@@ -55,7 +55,7 @@
 
 // send queues a message.
 func (m *Machine) send(p *peer, message Message) {
-	m.outbox = append(m.outbox, Send{To: p.Member, Message: message})
+	m.outbox = append(m.outbox, Send{To: p.Member, At: m.now, Message: message})
 }
 
 // check asks helpers to reach a VM that missed a heartbeat.
@@ -156,7 +156,7 @@
 // expireSuspicions ends the VMs that did not refute in time. An isolated VM
 // ends no one: more likely it is the one that can't be reached.
 func (m *Machine) expireSuspicions() {
-	if m.isolated {
+	if m.Self.Isolated {
 		return
 	}
 	for _, p := range m.peers {
@@ -168,7 +168,7 @@
 
 func (m *Machine) firstSuspicion() time.Time {
 	var first time.Time
-	if m.isolated {
+	if m.Self.Isolated {
 		return first
 	}
 	for _, p := range m.peers {
--- a/core/wqmember/seed.go
+++ b/core/wqmember/seed.go
@@ -10,6 +10,7 @@
 // raises what counts as the fleet; it ends no member.
 func (m *Machine) Seed(now time.Time, list []Listed) {
 	m.observe(now)
+	m.seededAt = now
 	m.listed = m.listed[:0]
 	for _, l := range list {
 		if l.ID == m.Self.ID || l.Address == m.Self.Address {
@@ -49,7 +50,7 @@
 	if p := m.peers[to.ID]; p != nil && p.State != Alive {
 		message.Changes = []Member{p.brief()}
 	}
-	m.outbox = append(m.outbox, Send{To: to, Message: message})
+	m.outbox = append(m.outbox, Send{To: to, At: m.now, Message: message})
 }
 
 // unreached returns the VMs that are dead or listed and unknown, and while
--- a/core/wqmember/share_test.go
+++ b/core/wqmember/share_test.go
@@ -1,7 +1,9 @@
 package wqmember_test
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -14,6 +16,12 @@
 	"wisteriaquay/core/wqview"
 )
 
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1") // Flags on the command line override these.
+	_ = flag.Set("rapid.checks", "60")
+	os.Exit(m.Run())
+}
+
 // shares runs a holder table beside each machine of a fleet and checks that
 // all VMs together stay within the limits of each searcher.
 type shares struct {
@@ -183,6 +191,10 @@
 func TestSharesNeverExceedLimits(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := newShares(rapid.IntRange(3, 8).Draw(r, "size"), rapid.Uint64().Draw(r, "seed"))
+		for _, n := range s.nodes {
+			n.Timing.Patience = time.Hour
+		}
+		s.timing.Patience = time.Hour
 		s.pass(time.Duration(rapid.IntRange(0, 25).Draw(r, "calm")) * time.Second)
 		for step := range rapid.IntRange(1, 12).Draw(r, "steps") {
 			s.disturb(r, step)
--- a/core/wqmember/sync.go
+++ b/core/wqmember/sync.go
@@ -71,7 +71,6 @@
 
 // compare spreads what the sender of a whole list did not know.
 func (m *Machine) compare(list Message) {
-	m.synced = true
 	theirs := make(map[string]Member, len(list.Changes))
 	for _, c := range list.Changes {
 		theirs[c.ID] = c
--- a/core/wqmember/timing.go
+++ b/core/wqmember/timing.go
@@ -21,6 +21,9 @@
 	Isolation    time.Duration // Isolation is how far back contact with peers is counted.
 	Frozen       time.Duration // Frozen is the gap between two calls after which a VM takes itself for paused.
 	Handover     time.Duration // Handover is how long a dead VM counts for isolation; the same as wqhold's.
+	ListLag      time.Duration // ListLag is how long the VM list may take to show or to drop a VM.
+	Settle       time.Duration // Settle is how long an isolated VM must hear the others before it is back.
+	Patience     time.Duration // Patience is how long isolated VMs wait for all others before a majority is enough.
 	Helpers      int           // Helpers is how many VMs are asked to check one that missed a heartbeat.
 	Changes      int           // Changes is the most changes in one message, whole lists apart.
 	Members      int           // Members is the most VMs that are tracked.
@@ -42,6 +45,9 @@
 		Isolation:    3 * time.Second,
 		Frozen:       3 * time.Second,
 		Handover:     10 * time.Second,
+		ListLag:      2 * time.Minute,
+		Settle:       2 * time.Second,
+		Patience:     30 * time.Second,
 		Helpers:      3,
 		Changes:      6,
 		Members:      4096,
