Put shares that rest behind others for write-like requests

A VM tried its own share first though it might not be used yet, and with up to four sends a request could end not_run while another VM could have sent it. The policy takes the time and puts shares whose use begins later behind the others. End-to-end tests wait until every VM answers whole.

--- a/core/wqcandidate/near.go
+++ b/core/wqcandidate/near.go
@@ -6,11 +6,12 @@
 // The list is made anew from the newest view right before each send, so that a
 // zone that was taken out meanwhile gets nothing:
 //
-//	for _, c := range (wqcandidate.NearFirst{}).Pick(view, "orders", "o07") { ... }
+//	for _, c := range (wqcandidate.NearFirst{}).Pick(view, now, "orders", "o07") { ... }
 package wqcandidate
 
 import (
 	"sort"
+	"time"
 
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqtopology"
@@ -34,8 +35,9 @@
 
 // Weights of what speaks against a candidate; each outweighs all below it.
 const (
-	penaltyDown    = 1 << 20
-	penaltySuspect = 1 << 19 // penaltySuspect is for a holder that missed a heartbeat.
+	penaltyDown    = 1 << 21
+	penaltySuspect = 1 << 20 // penaltySuspect is for a holder that missed a heartbeat.
+	penaltyResting = 1 << 19 // penaltyResting is for a share that may not be used yet.
 	penaltyCold    = 1 << 18
 	penaltyFarZone = 1 << 16
 	penaltyRelayed = 1 << 8 // penaltyRelayed is for a holder other than this VM.
@@ -44,13 +46,13 @@
 // Pick returns the candidates of a shard. Searchers that leave, searchers in
 // zones that are out, holders that leave, and holders whose start is not known yet
 // are not among them.
-func (NearFirst) Pick(v *wqview.View, service, shard string) []Candidate {
+func (NearFirst) Pick(v *wqview.View, now time.Time, service, shard string) []Candidate {
 	var all []ranked
 	for _, s := range v.Index.Replicas(service, shard) {
 		if v.Index.ZoneOut(s.Zone) || v.Targets[s.ID].Leaving {
 			continue
 		}
-		all = appendHolders(all, v, s)
+		all = appendHolders(all, v, now, s)
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].penalty < all[j].penalty })
 	picked := make([]Candidate, len(all))
@@ -60,13 +62,17 @@
 	return picked
 }
 
-func appendHolders(all []ranked, v *wqview.View, s *wqtopology.Searcher) []ranked {
+func appendHolders(all []ranked, v *wqview.View, now time.Time, s *wqtopology.Searcher) []ranked {
 	for i, h := range v.Holders[s.ID] {
 		m, known := v.Members[h.MemberID]
 		if !known || m.Epoch == 0 || m.State > wqmember.Suspect {
 			continue
 		}
-		all = append(all, ranked{Candidate{Searcher: s, Holder: m}, penalty(v, s, m) + i})
+		sum := penalty(v, s, m) + i
+		if now.Before(h.From) {
+			sum += penaltyResting
+		}
+		all = append(all, ranked{Candidate{Searcher: s, Holder: m}, sum})
 	}
 	return all
 }
--- a/core/wqcandidate/near_test.go
+++ b/core/wqcandidate/near_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -10,6 +11,8 @@
 	"wisteriaquay/core/wqview"
 )
 
+var start = time.Unix(1_000_000, 0)
+
 func testView() *wqview.View {
 	zones := []wqtopology.Zone{{ID: "a"}, {ID: "b"}, {ID: "c", Out: true}}
 	searcher := func(id, zone string) wqtopology.Searcher {
@@ -29,7 +32,7 @@
 
 func order(v *wqview.View) []string {
 	var names []string
-	for _, c := range (NearFirst{}).Pick(v, "orders", "o1") {
+	for _, c := range (NearFirst{}).Pick(v, start, "orders", "o1") {
 		names = append(names, c.Searcher.ID+"/"+c.Holder.ID)
 	}
 	return names
@@ -46,3 +49,9 @@
 	v.Targets["near"] = wqview.Target{Leaving: true}
 	must.Eq(t, []string{"far/vm1", "far/vm2"}, order(v))
 }
+
+func TestPickPutsSharesThatRestBehindOthers(t *testing.T) {
+	v := testView()
+	v.Holders["near"] = []wqview.Holder{{MemberID: "vm1", From: start.Add(time.Second)}, {MemberID: "vm2"}}
+	must.Eq(t, []string{"near/vm2", "far/vm1", "far/vm2", "near/vm1"}, order(v))
+}
--- a/io/wqwrite/run.go
+++ b/io/wqwrite/run.go
@@ -105,7 +105,7 @@
 	if err := sendable(v, n.request); err != nil {
 		return nil, err
 	}
-	for _, c := range w.Policy.Pick(v, n.request.GetService(), n.request.GetShard()) {
+	for _, c := range w.Policy.Pick(v, time.Now(), n.request.GetService(), n.request.GetShard()) {
 		if !tried[way{c.Searcher.ID, c.Holder.ID}] {
 			return &c, nil
 		}
--- a/io/wqwrite/writer.go
+++ b/io/wqwrite/writer.go
@@ -43,7 +43,7 @@
 
 // policy orders the ways to a shard, best first.
 type policy interface {
-	Pick(v *wqview.View, service, shard string) []wqcandidate.Candidate
+	Pick(v *wqview.View, now time.Time, service, shard string) []wqcandidate.Candidate
 }
 
 // holder sends write-like requests to searchers.
--- a/test/e2e/caller_test.go
+++ b/test/e2e/caller_test.go
@@ -31,6 +31,7 @@
 	Done   bool
 	NotRun bool
 	Last   wqpb.Outcome
+	Reason string // Reason is what the last answer said.
 	// Settled is true once a VM said after all faults that the outcome stays
 	// unknown.
 	Settled bool
@@ -41,10 +42,11 @@
 	if err != nil {
 		c.Last = wqpb.Outcome_OUTCOME_UNSPECIFIED
 		refused := wqrefusal.From(err)
+		c.Reason = refused.Error()
 		c.NotRun = c.NotRun || wqfault.KindOf(refused).NotRun()
 		return
 	}
-	c.Last = reply.GetOutcome()
+	c.Last, c.Reason = reply.GetOutcome(), reply.GetReason()
 	c.Done = c.Done || c.Last == wqpb.Outcome_OUTCOME_DONE
 	c.NotRun = c.NotRun || c.Last == wqpb.Outcome_OUTCOME_NOT_RUN
 }
--- a/test/e2e/stops_test.go
+++ b/test/e2e/stops_test.go
@@ -82,6 +82,10 @@
 	l.stop()
 	l.group.Wait()
 	t.Logf("%d queries, %v, %d failed", l.queries, check(t, f, l.claims), len(l.failed))
+	for _, s := range f.Searchers {
+		n := s.Counters()
+		t.Logf("%s: at most %d connections, %d refused, at most %d in flight, %d shed", s.ID, n.MaxConnections, n.RefusedConnections, n.MaxInFlight, n.Shed)
+	}
 	for _, err := range l.failed[:min(len(l.failed), 10)] {
 		t.Errorf("a stop cuts no request: %v", err)
 	}
@@ -119,7 +123,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := wqprocess.Start(t, stoppable())
-			f.WaitReady()
+			f.WaitServing()
 			l := startLoad(t, f)
 			time.Sleep(300 * time.Millisecond)
 			f.Store.SetFaults(c.store)
@@ -139,7 +143,7 @@
 
 func TestRollingReplacementCutsNoRequest(t *testing.T) {
 	f := wqprocess.Start(t, stoppable())
-	f.WaitReady()
+	f.WaitServing()
 	l := startLoad(t, f)
 	for _, vm := range f.Running() {
 		f.StartVM().WaitReady()
@@ -151,7 +155,7 @@
 
 func TestSecondSignalCutsNothingShort(t *testing.T) {
 	f := wqprocess.Start(t, stoppable())
-	f.WaitReady()
+	f.WaitServing()
 	vm := f.VMs[0]
 	id, err := ticketAt(t.Context(), vm)
 	must.NoError(t, err)
--- a/test/e2e/writes_test.go
+++ b/test/e2e/writes_test.go
@@ -38,7 +38,7 @@
 	count := setting("WISTERIAQUAY_WRITES", 1000)
 	seed := uint64(setting("WISTERIAQUAY_SEED", 1))
 	f := wqprocess.Start(t, wqprocess.Options{VMs: 4, Shards: shards, Replicas: 2})
-	f.WaitReady()
+	f.WaitServing()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	b := newBalancer(ctx, f, seed)
@@ -198,7 +198,7 @@
 // lost.
 func TestLostRepliesAtEachHop(t *testing.T) {
 	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: 1, Replicas: 1})
-	f.WaitReady()
+	f.WaitServing()
 	b := newBalancer(t.Context(), f, 1)
 	s := f.Searchers[0]
 	for _, vm := range f.VMs {
@@ -241,7 +241,7 @@
 				VMs: 3, Shards: shards, Replicas: 1,
 				Knobs: wqsearcher.Knobs{Slots: 24, Connections: 24, Batch: 1, ServiceMillis: 8},
 			})
-			f.WaitReady()
+			f.WaitServing()
 			b := newBalancer(t.Context(), f, 1)
 			var all []*claims
 			for step := range setting("WISTERIAQUAY_MOMENTS", 12) {
@@ -283,14 +283,14 @@
 		f.StartVM()
 	}
 	victim.Thaw()
-	f.WaitReady()
+	f.WaitServing()
 	return written
 }
 
 // TestWritesDuringStoreOutage needs no store for write-like requests.
 func TestWritesDuringStoreOutage(t *testing.T) {
 	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: shards, Replicas: 2})
-	f.WaitReady()
+	f.WaitServing()
 	f.StoreWire.Swallow()
 	all := writeMany(t.Context(), t, newBalancer(t.Context(), f, 1), 200)
 	must.Eq(t, 200, check(t, f, all)["done"], must.Sprint("an outage of the store stops no write-like request"))
--- a/test/wqprocess/fleet.go
+++ b/test/wqprocess/fleet.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: 4, Replicas: 2})
-//	f.WaitReady()
+//	f.WaitServing()
 //	f.VMs[0].Freeze()
 //	f.Searchers[0].Wire.LoseReplies(0)
 //	runs := f.Runs()
@@ -179,12 +179,15 @@
 	must.NoError(f.t, err)
 }
 
-// WaitReady waits until every VM that runs is ready.
-func (f *Fleet) WaitReady() {
+// WaitServing waits until every VM that runs is ready and answers whole.
+func (f *Fleet) WaitServing() {
 	f.t.Helper()
 	for _, vm := range f.Running() {
 		vm.WaitReady()
 	}
+	for _, vm := range f.Running() {
+		vm.WaitServing()
+	}
 }
 
 // Runs counts how often each write-like request ran, by ticket, over all
--- a/test/wqprocess/vm.go
+++ b/test/wqprocess/vm.go
@@ -17,8 +17,10 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/shoenig/test/must"
 
+	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqpb/wqpbconnect"
 	"wisteriaquay/test/wqwire"
 )
@@ -180,6 +182,28 @@
 	eventually(vm.fleet.t, readyLimit, vm.ID+" is ready", vm.Ready)
 }
 
+// WaitServing waits until the VM answers a query whole: shares rest before their
+// first use when VMs may have been here before.
+func (vm *VM) WaitServing() {
+	vm.fleet.t.Helper()
+	eventually(vm.fleet.t, readyLimit, vm.ID+" answers whole", vm.query)
+}
+
+func (vm *VM) query() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	reply, err := vm.Client().Query(ctx, connect.NewRequest(&wqpb.QueryRequest{
+		RequestId: "first", Tenant: Tenant, Class: Class, Service: Service, LeastCoverage: 1,
+	}))
+	if err != nil {
+		return err
+	}
+	if reply.Msg.GetShardsAnswered() < reply.Msg.GetShardsTotal() {
+		return fmt.Errorf("%s: %v are missing", vm.ID, reply.Msg.GetMissing())
+	}
+	return nil
+}
+
 // Client returns a caller's client of the VM.
 func (vm *VM) Client() wqpbconnect.QueryServiceClient {
 	return wqpbconnect.NewQueryServiceClient(http.DefaultClient, "http://"+vm.Caller)
