--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -62,9 +62,11 @@
 	Settings *wqsetting.Settings
 	Log      *slog.Logger
 
-	view     atomic.Pointer[wqview.View]
-	requests atomic.Int64 // requests are callers' calls in progress.
-	sends    atomic.Int64 // sends are peers' calls in progress.
+	view       atomic.Pointer[wqview.View]
+	requests   atomic.Int64 // requests are callers' calls in progress.
+	letGo      func()       // letGo closes the connections to searchers; endHolding is to come first.
+	endHolding func()       // endHolding keeps no connection to a searcher any more and closes those that are open.
+	sends      atomic.Int64 // sends are peers' calls in progress.
 
 	act        func(wqconfig.Action) // act carries out one action of the configuration and returns when it has ended.
 	delivering sync.WaitGroup        // delivering are the heartbeats on their way.
@@ -166,10 +168,12 @@
 	holder.View = n.view.Load
 	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
-	return func() {
+	release := sync.OnceFunc(func() {
 		releaseHolder()
 		releaseClient()
-	}
+	})
+	n.letGo = release
+	return release
 }
 
 func (n *Node) buildEntry() {
@@ -244,7 +248,17 @@
 	}
 	n.act = func(a wqconfig.Action) { n.carryOut(ctx, a) }
 	run(n.loop.Run)
-	run(n.holder.Run)
+	holding, endHolding := context.WithCancel(ctx)
+	held := make(chan struct{})
+	run(func(context.Context) {
+		defer close(held)
+		n.holder.Run(holding)
+	})
+	n.endHolding = func() {
+		endHolding()
+		<-held
+		n.letGo()
+	}
 	run(n.readList)
 	run(func(ctx context.Context) { n.keys.Run(ctx, nil) })
 }
--- a/io/wqnode/stop.go
+++ b/io/wqnode/stop.go
@@ -17,6 +17,9 @@
 // connections and telling peers.
 const stopReserve = time.Second
 
+// closeLag is how long a searcher may take to notice that a connection closed.
+const closeLag = 200 * time.Millisecond
+
 // stop ends the VM gracefully, see wqdrain.
 func (n *Node) stop(ctx context.Context, listeners []*listener) error {
 	start := time.Now()
@@ -67,8 +70,11 @@
 	return nil
 }
 
-// close says goodbye to the peers and ends the listeners.
+// close ends the connections to searchers, then says goodbye to the peers, which
+// may use this VM's shares from then on, and ends the listeners.
 func (n *Node) close(ctx context.Context, listeners []*listener) error {
+	n.endHolding()
+	wait(ctx, closeLag)
 	said := make(chan wqmember.Message, 1)
 	if n.loop.Post(ctx, message{event: wqcontrol.LeaveFinished{}, reply: said}) {
 		<-said
@@ -89,3 +95,12 @@
 		h.ServeHTTP(w, r)
 	})
 }
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
