--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -17,6 +17,7 @@
 package wqcontrol
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -58,9 +59,10 @@
 	all        []wqmember.Member // all are the VMs that are remembered.
 	known      map[string]wqmember.Member
 	holders    map[string][]wqview.Holder
-	settledYet bool // settledYet is true once this VM might use its own shares.
-	cut        bool // cut is true when the holders follow from this VM being isolated.
-	stale      bool // stale is true when the holders must be computed anew.
+	snapshots  map[string]uint64 // snapshots are the newest that whole answers came from, by service.
+	settledYet bool              // settledYet is true once this VM might use its own shares.
+	cut        bool              // cut is true when the holders follow from this VM being isolated.
+	stale      bool              // stale is true when the holders must be computed anew.
 }
 
 // Output is what the owner of a Control has to do next.
@@ -73,11 +75,12 @@
 // New returns the control state of a VM that has just started.
 func New(s Settings, now time.Time) *Control {
 	c := &Control{
-		settings: s,
-		health:   wqhealth.New(),
-		members:  wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
-		table:    wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
-		index:    wqtopology.NewIndex(&wqtopology.Topology{}),
+		settings:  s,
+		health:    wqhealth.New(),
+		snapshots: make(map[string]uint64),
+		members:   wqmember.Machine{Self: s.Self, Random: s.Random, Timing: s.Timing},
+		table:     wqhold.Table{Limits: wqhold.Limits{MaxHolders: s.MaxHolders}, Handover: s.Timing.Handover},
+		index:     wqtopology.NewIndex(&wqtopology.Topology{}),
 	}
 	c.config = wqconfig.Machine[wqconfig.PerZone]{
 		Self:   s.Self,
@@ -106,6 +109,8 @@
 		c.config.Handle(now, e.Event)
 	case TargetSeen:
 		c.health.Observe(e.Report)
+	case SnapshotSeen:
+		c.seeSnapshot(e)
 	case LeaveAsked:
 		c.members.Leave(now)
 	case RefuseAsked:
@@ -139,6 +144,16 @@
 	return next
 }
 
+// seeSnapshot notes a newer snapshot; the published map is never changed.
+func (c *Control) seeSnapshot(e SnapshotSeen) {
+	if e.Snapshot <= c.snapshots[e.Service] {
+		return
+	}
+	next := maps.Clone(c.snapshots)
+	next[e.Service] = e.Snapshot
+	c.snapshots = next
+}
+
 // adopt puts a configuration in force.
 func (c *Control) adopt(now time.Time, h *wqhistory.History) {
 	c.index = wqtopology.NewIndex(h.Topology)
@@ -164,16 +179,17 @@
 	c.refreshMembers(now)
 	c.refreshHolders(now)
 	return &wqview.View{
-		Self:     c.members.Self,
-		Index:    c.index,
-		History:  c.config.History(),
-		Members:  c.known,
-		Holders:  c.holders,
-		FreshAt:  c.freshness.At(now, c.alone(), c.behind()),
-		Targets:  c.health.States(),
-		Stopping: c.stopping(now),
-		Isolated: c.members.Isolated(),
-		Settled:  c.settled(now),
+		Self:      c.members.Self,
+		Index:     c.index,
+		History:   c.config.History(),
+		Members:   c.known,
+		Holders:   c.holders,
+		FreshAt:   c.freshness.At(now, c.alone(), c.behind()),
+		Targets:   c.health.States(),
+		Snapshots: c.snapshots,
+		Stopping:  c.stopping(now),
+		Isolated:  c.members.Isolated(),
+		Settled:   c.settled(now),
 
 		StoreReachable: c.config.StoreReachable(),
 	}
--- a/core/wqcontrol/event.go
+++ b/core/wqcontrol/event.go
@@ -34,6 +34,12 @@
 // TargetSeen carries one observation of a searcher.
 type TargetSeen struct{ Report wqreport.Target }
 
+// SnapshotSeen names a snapshot that a whole answer of this VM came from.
+type SnapshotSeen struct {
+	Service  string
+	Snapshot uint64
+}
+
 // LeaveAsked starts the graceful stop: peers and the balancer are told.
 type LeaveAsked struct{}
 
@@ -49,6 +55,7 @@
 func (HeartbeatFailed) event()   {}
 func (ConfigurationSeen) event() {}
 func (TargetSeen) event()        {}
+func (SnapshotSeen) event()      {}
 func (LeaveAsked) event()        {}
 func (RefuseAsked) event()       {}
 func (LeaveFinished) event()     {}
--- a/core/wqview/view.go
+++ b/core/wqview/view.go
@@ -55,8 +55,27 @@
 	Latency     time.Duration // Latency is a recent typical time of its answers; 0 means unknown.
 }
 
-// Ready reports whether this VM may serve queries.
-func (v *View) Ready() bool {
+// NotReady returns why the balancer should send no callers to this VM, empty
+// when it should.
+func (v *View) NotReady() string {
+	switch {
+	case v == nil || v.Index == nil || v.Index.Topology.Revision == 0:
+		return "no configuration yet; it comes from the store or from a peer"
+	case v.Stopping || v.Self.State >= wqmember.Leaving:
+		return "stopping"
+	case v.Isolated:
+		return "too few peers answer; check the network of this VM"
+	case v.Index.ZoneOut(v.Self.Zone):
+		return "the availability zone of this VM is out, or no release note names it"
+	case !v.Settled:
+		return "the searchers' shares rest after the start; they are used within the handover time"
+	}
+	return ""
+}
+
+// Accepts reports whether this VM takes requests, which it does for the
+// balancer's lag after it has become not ready.
+func (v *View) Accepts() bool {
 	return v != nil && v.Index != nil && v.Index.Topology.Revision > 0 && !v.Stopping && !v.Isolated
 }
 
--- a/io/wqnode/admin.go
+++ b/io/wqnode/admin.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 
-	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqmetric"
 )
@@ -17,7 +16,7 @@
 		_, _ = fmt.Fprintln(w, "live")
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if reason := notReady(view()); reason != "" {
+		if reason := view().NotReady(); reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
 		}
@@ -25,21 +24,3 @@
 	})
 	return mux
 }
-
-// notReady returns why the balancer should send no callers here, empty when it
-// should.
-func notReady(v *wqview.View) string {
-	switch {
-	case v == nil || v.Index == nil || v.Index.Topology.Revision == 0:
-		return "no configuration yet; it comes from the store or from a peer"
-	case v.Stopping || v.Self.State >= wqmember.Leaving:
-		return "stopping"
-	case v.Isolated:
-		return "too few peers answer; check the network of this VM"
-	case !v.Settled:
-		return "the searchers' shares rest after the start; they are used within the handover time of 10 s"
-	case v.Index.ZoneOut(v.Self.Zone):
-		return "the availability zone of this VM is out, or no release note names it"
-	}
-	return ""
-}
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -227,7 +227,7 @@
 		Check:          n.keys.CheckOperator,
 		StoreReachable: func() bool { return n.view.Load().StoreReachable },
 	}))
-	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: n.entry, Writes: n.writer, Metrics: n.metrics}))
+	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: queries{n}, Writes: n.writer, Metrics: n.metrics}))
 	return wqstop.LastAnswers(counted(&n.requests, mux), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
 }
 
--- a/io/wqoperator/status.go
+++ b/io/wqoperator/status.go
@@ -27,7 +27,7 @@
 		Zones:          zoneStatus(v),
 		Services:       serviceStatus(v),
 		StoreReachable: o.StoreReachable(),
-		Ready:          v.Ready(),
+		Ready:          v.NotReady() == "",
 	}), nil
 }
 
--- a/io/wqwrite/writer.go
+++ b/io/wqwrite/writer.go
@@ -212,7 +212,7 @@
 	if v != nil && v.Stopping {
 		return wqfault.New(wqfault.Leaving, "this VM is stopping", "ask another VM for a ticket")
 	}
-	if !v.Ready() {
+	if !v.Accepts() {
 		return wqfault.New(wqfault.NotReady, "this VM has no configuration or too few peers", "ask another VM for a ticket")
 	}
 	return nil
--- a/test/wqstand/demo.go
+++ b/test/wqstand/demo.go
@@ -161,7 +161,28 @@
 		}
 		d.commands = append(d.commands, c)
 	}
-	return d.waitFor(ctx, "/livez")
+	if err := d.waitFor(ctx, "/livez"); err != nil {
+		return err
+	}
+	return d.waitMembers(ctx)
+}
+
+// waitMembers waits until the first VM knows all others.
+func (d *demo) waitMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	last := fmt.Sprintf("vm%d", demoVMs)
+	for {
+		c := exec.CommandContext(ctx, d.program, "status", "--entry", "http://"+d.address(0, 0), "--operator-token", demoToken)
+		known, err := c.Output()
+		if err == nil && strings.Contains(string(known), last) {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("vm1 did not learn of %s within %s", last, readyLimit)
+		}
+		time.Sleep(lookInterval)
+	}
 }
 
 func (d *demo) waitReady(ctx context.Context) error { return d.waitFor(ctx, "/readyz") }
