Add publish, out, back, status and check

Cause: operators drive the tier by release notes and zones alone. Change: the commands publish, out, back, status and check.

--- a/cmd/wisteriaquay/command.go
+++ b/cmd/wisteriaquay/command.go
@@ -38,6 +38,11 @@
 		cmdServe,
 		cmdQuery,
 		cmdWrite,
+		cmdPublish,
+		cmdOut,
+		cmdBack,
+		cmdStatus,
+		cmdCheck,
 		cmdLoad,
 		cmdVersion,
 	}
