--- a/io/wqoperator/progress.go
+++ b/io/wqoperator/progress.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqpb"
 )
 
@@ -26,62 +27,83 @@
 	missing []string // missing are the VMs not known to have it in force, sorted.
 }
 
-// waitInForce waits until all live VMs have a revision in force or the time is
-// over, and returns how far it came. VMs that membership has no word of are
-// asked themselves.
+// roll is the VMs that a wait counts: those that were live at its start or came
+// since. One that is taken for dead meanwhile stays, since it may only be paused
+// or out of reach.
+type roll struct {
+	revision uint64
+	vms      map[string]wqmember.Member // vms are by id, each as it was seen last.
+	told     map[string]bool            // told are the VMs that said themselves that they have the revision.
+}
+
+// waitInForce waits until all VMs have a revision in force or the time is over,
+// and returns how far it came. VMs that membership has no word of are asked
+// themselves.
 func (o *Operator[S, P]) waitInForce(ctx context.Context, revision uint64, wait time.Duration) progress {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
-	heard := map[string]bool{}
+	r := &roll{revision: revision, vms: map[string]wqmember.Member{}, told: map[string]bool{}}
 	nextAsk := time.Now().Add(askEvery)
 	for {
-		behind := o.behind(revision, heard)
-		if len(behind) == 0 {
-			return o.progress(behind)
+		behind := r.look(o.View())
+		if len(behind) == 0 || ctx.Err() != nil {
+			return r.progress(behind)
 		}
 		if time.Now().After(nextAsk) {
-			o.ask(ctx, revision, behind, heard)
+			o.ask(ctx, r, behind)
 			nextAsk = time.Now().Add(askEvery)
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return o.progress(o.behind(revision, heard))
 		}
 	}
 }
 
-// behind returns the live VMs that are not known to have a revision in force.
-func (o *Operator[S, P]) behind(revision uint64, heard map[string]bool) []wqmember.Member {
-	var behind []wqmember.Member
-	v := o.View()
-	if o.revision() < revision {
-		behind = append(behind, v.Self)
-	}
+// look takes in a view and returns the VMs that are not known to have the
+// revision in force.
+func (r *roll) look(v *wqview.View) []wqmember.Member {
 	for id, m := range v.Members {
-		if id != v.Self.ID && m.Revision < revision && !heard[id] {
+		r.vms[id] = m
+	}
+	self := v.Self
+	self.Revision = v.Index.Topology.Revision
+	r.vms[self.ID] = self
+	var behind []wqmember.Member
+	for id, m := range r.vms {
+		if m.Revision < r.revision && !r.told[id] {
 			behind = append(behind, m)
 		}
 	}
 	return behind
 }
 
+func (r *roll) progress(behind []wqmember.Member) progress {
+	p := progress{total: uint32(len(r.vms)), inForce: uint32(len(r.vms) - len(behind))}
+	for _, m := range behind {
+		p.missing = append(p.missing, m.ID)
+	}
+	slices.Sort(p.missing)
+	return p
+}
+
 // ask asks VMs for their revision and marks those that have it.
-func (o *Operator[S, P]) ask(ctx context.Context, revision uint64, behind []wqmember.Member, heard map[string]bool) {
+func (o *Operator[S, P]) ask(ctx context.Context, r *roll, behind []wqmember.Member) {
 	var mu sync.Mutex
 	group := errgroup.Group{}
 	group.SetLimit(askAtOnce)
+	self := o.View().Self.ID
 	for _, m := range behind {
-		if m.ID == o.View().Self.ID {
+		if m.ID == self {
 			continue
 		}
 		group.Go(func() error {
-			if o.hasRevision(ctx, m, revision) {
+			if o.hasRevision(ctx, m, r.revision) {
 				mu.Lock()
 				defer mu.Unlock()
-				heard[m.ID] = true
+				r.told[m.ID] = true
 			}
 			return nil
 		})
@@ -95,17 +117,3 @@
 	r, err := o.Peers.PeerClient(m.Address).Configuration(ctx, &wqpb.ConfigurationRequest{Revision: revision})
 	return err == nil && r.GetRevision() >= revision
 }
-
-func (o *Operator[S, P]) progress(behind []wqmember.Member) progress {
-	v := o.View()
-	total := len(v.Members)
-	if _, listed := v.Members[v.Self.ID]; !listed {
-		total++
-	}
-	p := progress{total: uint32(total), inForce: uint32(max(total-len(behind), 0))}
-	for _, m := range behind {
-		p.missing = append(p.missing, m.ID)
-	}
-	slices.Sort(p.missing)
-	return p
-}
