--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -133,6 +133,6 @@
 	l.mu.Unlock()
 	time.AfterFunc(closeLag, l.release)
 	if last {
-		l.lost()
+		go l.lost() // The closer may hold locks.
 	}
 }
--- a/test/wqsearcher/holder_test.go
+++ b/test/wqsearcher/holder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,7 @@
 type fleet struct {
 	servers  []*wqsearcher.Server
 	topology wqtopology.Topology
+	views    []atomic.Pointer[wqview.View] // views are the VMs' own.
 }
 
 func startFleet(t testing.TB, shards int, k wqsearcher.Knobs) *fleet {
