Let answers wait a millisecond for others to travel with

Cause: at a fan-out of 1,600 the holder sent 131 parts, each with its own rows; the entry can't finish before the last answer, which never waits. Change: answers gather for Holder.Gather, 1 ms; the last one and refusals, on which the entry acts, pass at once. The time of a result is taken when it comes.

--- a/io/wqholder/fan.go
+++ b/io/wqholder/fan.go
@@ -69,7 +69,7 @@
 		h.offer(f.arrived, sub.Searcher, t)
 	}
 	defer f.abandon()
-	return f.collect(ctx, send)
+	return f.collect(ctx, h.Gather, send)
 }
 
 func checkRequest(r *wqpb.FanRequest) error {
@@ -116,38 +116,45 @@
 }
 
 // collect passes the results on until all are there or the time is over.
-func (f *fan) collect(ctx context.Context, send func(*wqpb.FanPart) error) error {
+// Answers wait a little for others, but for the last one; a result that the
+// entry may act on passes at once.
+func (f *fan) collect(ctx context.Context, gather time.Duration, send func(*wqpb.FanPart) error) error {
+	timer := time.NewTimer(gather)
+	defer timer.Stop()
+	timer.Stop()
 	for f.open > 0 {
 		select {
 		case r := <-f.results:
-			if err := f.pass(r, send); err != nil {
+			if err := f.take(r, timer, gather, send); err != nil {
+				return err
+			}
+		case <-timer.C:
+			if err := f.part.flush(send); err != nil {
 				return err
 			}
 		case <-ctx.Done():
 			return f.expire(ctx, send)
 		}
 	}
-	return nil
+	return f.part.flush(send)
 }
 
-// pass sends a result together with those that are there already.
-func (f *fan) pass(first result, send func(*wqpb.FanPart) error) error {
+// take adds a result to the part, or sends the part before or after it.
+func (f *fan) take(r result, timer *time.Timer, gather time.Duration, send func(*wqpb.FanPart) error) error {
 	p := &f.part
-	p.add(first)
-	for {
-		select {
-		case r := <-f.results:
-			if p.add(r) {
-				continue
-			}
-			if err := p.flush(send); err != nil {
-				return err
-			}
-			p.add(r)
-		default:
-			return p.flush(send)
+	if !p.add(r) {
+		if err := p.flush(send); err != nil {
+			return err
 		}
+		p.add(r)
+	}
+	if (p.urgent || gather <= 0) && len(f.results) == 0 {
+		return p.flush(send)
 	}
+	if len(p.results) == 1 {
+		timer.Reset(gather)
+	}
+	return nil
 }
 
 // expire ends the open tasks when the deadline has passed.
--- a/io/wqholder/holder.go
+++ b/io/wqholder/holder.go
@@ -34,6 +34,8 @@
 const (
 	// defaultQueueLength bounds the jobs that wait for one searcher.
 	defaultQueueLength = 1024
+	// defaultGather is short beside the time of an answer.
+	defaultGather = time.Millisecond
 	// defaultProbeEvery spaces the health probes of one searcher.
 	defaultProbeEvery = time.Second
 )
@@ -57,6 +59,7 @@
 	Report      func(wqreport.Target) // Report takes what was observed; it must not block.
 	QueueLength int                   // QueueLength bounds the jobs that wait for one searcher.
 	ProbeEvery  time.Duration         // ProbeEvery spaces the health probes of one searcher.
+	Gather      time.Duration         // Gather is how long an answer waits for others to travel in one part with; 0 sends each at once.
 	Batch       int                   // Batch bounds the sub-queries of one request under the searcher's own bound; 0 sets no bound.
 
 	mu     sync.RWMutex
@@ -74,6 +77,7 @@
 		Report:      func(wqreport.Target) {},
 		QueueLength: defaultQueueLength,
 		ProbeEvery:  defaultProbeEvery,
+		Gather:      defaultGather,
 		lanes:       make(map[string]*lane[P]),
 	}
 	return h, h.close
--- a/io/wqholder/part.go
+++ b/io/wqholder/part.go
@@ -18,6 +18,7 @@
 	fan     *fan
 	results []result
 	rows    []ranked
+	urgent  bool // urgent is true when the entry may act on a result.
 }
 
 // ranked is a row with the snapshot and the shard that it comes from.
@@ -33,8 +34,10 @@
 	if p.fan.twice && r.answered() && slices.ContainsFunc(p.results, r.sameShard) {
 		return false
 	}
+	r.after = time.Since(p.fan.arrived)
 	r.task.reported = true
 	p.fan.open--
+	p.urgent = p.urgent || !r.answered()
 	p.results = append(p.results, r)
 	return true
 }
@@ -55,31 +58,31 @@
 	}
 	clear(p.results)
 	p.results = p.results[:0]
+	p.urgent = false
 	return nil
 }
 
 // finish returns the part with its results and the best rows of each snapshot.
 func (p *part) finish() *wqpb.FanPart {
-	now := time.Now()
 	messages := make([]wqpb.SubResult, len(p.results))
 	out := &wqpb.FanPart{
 		RequestId: p.fan.request.RequestId,
 		Results:   make([]*wqpb.SubResult, len(p.results)),
 	}
 	for i := range p.results {
-		p.fill(&messages[i], &p.results[i], now)
+		fill(&messages[i], &p.results[i])
 		out.Results[i] = &messages[i]
 	}
 	out.Rows = rowMessages(p.bestRows())
 	return out
 }
 
-func (p *part) fill(m *wqpb.SubResult, r *result, now time.Time) {
+func fill(m *wqpb.SubResult, r *result) {
 	m.Shard = r.task.sub.Shard
 	m.Searcher = r.task.sub.Searcher
 	m.Status = SubStatus(r.status)
 	m.Oldest, m.Newest = r.oldest, r.newest
-	m.Micros = uint32(now.Sub(p.fan.arrived).Microseconds())
+	m.Micros = uint32(r.after.Microseconds())
 	if r.sent {
 		m.Sent = 1
 	}
--- a/io/wqholder/rules_test.go
+++ b/io/wqholder/rules_test.go
@@ -298,3 +298,17 @@
 	must.NoError(t, err)
 	must.EqOp(t, 2, parts)
 }
+
+// A refusal passes at once, those that come together in one part.
+func TestRefusalsPassAtOnce(t *testing.T) {
+	h, c, view := newHeldHolder(t)
+	h.Gather = time.Hour
+	v := viewOf(20)
+	v.Holders = map[string][]wqview.Holder{"s-0000": {{MemberID: "vm-1", Slots: 1, Connections: 1}}}
+	view.Store(v)
+	parts := background(context.Background(), h, fanRequest(v))
+	p := <-parts
+	must.SliceLen(t, 19, p.Results)
+	c.answer <- nil
+	must.EqOp(t, wqpb.SubStatus_SUB_STATUS_ANSWERED, status(t, parts))
+}
--- a/io/wqholder/task.go
+++ b/io/wqholder/task.go
@@ -31,6 +31,7 @@
 	oldest uint64
 	newest uint64
 	sent   bool
+	after  time.Duration // after is the time from the arrival of the fan.
 }
 
 // take decides whether the task is sent; only the first call returns true. The
