Wait longer for the reply to a write-like request

Once a byte has left, the reply is waited for 2 s longer, counted from when the process notices the deadline; a request of which nothing has left ends at its deadline as before.

--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -34,6 +34,9 @@
 	headerBytes = 16 << 10
 	// defaultConnectTimeout bounds the making of a connection.
 	defaultConnectTimeout = 500 * time.Millisecond
+	// defaultLateReply is how much longer than its time a reply to a write-like
+	// request is waited for.
+	defaultLateReply = 2 * time.Second
 	// defaultReplyBytes bounds the body of a reply, in bytes.
 	defaultReplyBytes = 8 << 20
 )
@@ -43,6 +46,7 @@
 type Client struct {
 	ConnectTimeout time.Duration           // ConnectTimeout bounds the making of a connection.
 	ReplyBytes     int64                   // ReplyBytes bounds the body of a reply, in bytes.
+	LateReply      time.Duration           // LateReply is how much longer than its time the reply to a write-like request is waited for.
 	Lost           func(searcherID string) // Lost is called when a searcher closes an idle connection: it may have restarted.
 
 	mu    sync.RWMutex
@@ -54,6 +58,7 @@
 	c := &Client{
 		ConnectTimeout: defaultConnectTimeout,
 		ReplyBytes:     defaultReplyBytes,
+		LateReply:      defaultLateReply,
 		Lost:           func(string) {},
 		links:          make(map[string]*link),
 	}
--- a/io/wqtarget/client_test.go
+++ b/io/wqtarget/client_test.go
@@ -290,3 +290,25 @@
 		t.Fatal("the lost connection was not reported")
 	}
 }
+
+func TestLateReplyToAWriteIsWaitedFor(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		var in wqtarget.Write
+		_ = json.NewDecoder(r.Body).Decode(&in)
+		_ = json.NewEncoder(w).Encode(wqtarget.WriteReply{RequestID: in.RequestID, Body: []byte("ok")})
+	}))
+	defer server.Close()
+	c, end := wqtarget.New()
+	defer end()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, func() {
+		cancel()
+		close(release)
+	})
+	s := &wqtopology.Searcher{ID: "s1", Address: server.Listener.Addr().String(), Connections: 1}
+	reply, err := c.Write(ctx, s, wqtarget.Write{RequestID: "ticket-1"})
+	must.NoError(t, err)
+	must.Eq(t, "ok", string(reply.Body))
+}
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -33,15 +35,18 @@
 	return x.finishSearch(raw, batch)
 }
 
-// Write sends one write-like request. The error is a Failure whose NotRun tells
-// whether it is proved that nothing ran.
+// Write sends one write-like request before ctx ends, and waits for the reply
+// up to LateReply longer. The error is a Failure whose NotRun tells whether it is
+// proved that nothing ran.
 func (c *Client) Write(ctx context.Context, s *wqtopology.Searcher, w Write) (WriteReply, error) {
 	body, err := json.Marshal(w)
 	if err != nil {
 		return WriteReply{}, newFailure(wqreport.NotRun, false, err.Error())
 	}
 	x := exchange{client: c, searcher: s}
-	raw, err := x.run(ctx, http.MethodPost, "/v1/write", body)
+	running, end := x.waitLonger(ctx)
+	defer end()
+	raw, err := x.run(running, http.MethodPost, "/v1/write", body)
 	if err != nil {
 		return WriteReply{}, err
 	}
@@ -70,6 +75,31 @@
 	conn     *connection
 	number   uint64 // number is the request's on its connection.
 	status   int
+	claim    atomic.Pointer[claim]
+}
+
+// claim is the connection of a request, for the goroutine that ends it.
+type claim struct {
+	conn   *connection
+	number uint64
+}
+
+// waitLonger returns a context for a request and its reply. Once ctx ends, it
+// ends at once if no byte has left, and LateReply later otherwise: after a pause
+// of this process the reply may be waiting to be read.
+func (x *exchange) waitLonger(ctx context.Context) (context.Context, context.CancelFunc) {
+	running, end := context.WithCancel(context.WithoutCancel(ctx))
+	forget := context.AfterFunc(ctx, func() {
+		if c := x.claim.Load(); c == nil || !c.conn.seal(c.number) {
+			end()
+			return
+		}
+		time.AfterFunc(x.client.LateReply, end)
+	})
+	return running, func() {
+		forget()
+		end()
+	}
 }
 
 // run writes the request once and returns the bounded body of a reply with
@@ -80,6 +110,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		x.conn = i.Conn.(*connection)
 		x.number = x.conn.begin()
+		x.claim.Store(&claim{x.conn, x.number})
 	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, l.base+path, bytes.NewReader(body))
 	if err != nil {
