--- a/test/e2e/configuration_test.go
+++ b/test/e2e/configuration_test.go
@@ -68,7 +68,7 @@
 func ready(t *testing.T) *wqprocess.Fleet {
 	t.Helper()
 	f := wqprocess.Start(t, wqprocess.Options{VMs: 3, Shards: 2, Replicas: 3})
-	f.WaitReady()
+	f.WaitServing()
 	return f
 }
 
