--- a/core/wqmember/fleet_test.go
+++ b/core/wqmember/fleet_test.go
@@ -18,6 +18,7 @@
 	nodes  []*node
 	events eventQueue
 	serial int
+	sent   int // sent counts messages, replies apart.
 
 	loss   float64                                 // loss is the share of messages lost, each way.
 	double float64                                 // double is the share of messages delivered again, up to 2 s later.
@@ -168,6 +169,7 @@
 }
 
 func (f *fleet) deliver(from *node, s wqmember.Send) {
+	f.sent++
 	to := f.nodeAt(s.To.Address)
 	failAt := f.now.Add(f.timing.AckTimeout)
 	life, source := from.life, from.Self.Address
--- a/core/wqmember/gossip.go
+++ b/core/wqmember/gossip.go
@@ -32,14 +32,23 @@
 	m.urgent = m.urgent || r.urgent
 }
 
-// flood sends urgent news to all neighbours at once, at a bounded rate.
+// flood sends urgent news to all neighbours at once, at a bounded rate. A VM
+// that joins or is cut off leaves that to the others: its neighbours change
+// with each VM that it learns of.
 func (m *Machine) flood() {
+	if m.Self.Isolated {
+		m.urgent = false
+	}
 	if !m.urgent || m.now.Before(m.nextFlood) {
 		return
 	}
 	m.urgent = false
 	m.nextFlood = m.now.Add(m.Timing.FloodEvery)
 	for _, id := range m.ring() {
+		if !m.mayExtra() {
+			m.urgent = true
+			return
+		}
 		m.send(m.peers[id], m.compose(id, floodFactor*m.Timing.Changes))
 	}
 }
--- a/core/wqmember/machine.go
+++ b/core/wqmember/machine.go
@@ -36,6 +36,8 @@
 	nextRequest  time.Time // nextRequest is when the next whole list may be asked for.
 	nextAnswer   time.Time // nextAnswer is the earliest time of the next whole list sent, less a burst.
 	raisedAt     time.Time
+	extras       float64   // extras are the messages beside the periodic ones that may be sent now.
+	extrasAt     time.Time // extrasAt is when extras was last counted.
 	resetAt      time.Time // resetAt is the start or the end of the last pause.
 	synced       bool      // synced is true once a whole list came since the start or the last pause.
 	paused       bool      // paused is true once the process was paused.
@@ -67,6 +69,7 @@
 	m.relays = make(map[string][]relay)
 	m.now, m.nextPing, m.nextFlood, m.nextContact = now, now, now, now
 	m.nextRequest, m.nextAnswer, m.resetAt, m.isolatedAt = now, now, now, now
+	m.extras, m.extrasAt = extrasBurst, now
 	m.Self.Isolated = true
 	m.Self.Incarnation = max(m.Self.Incarnation, m.Self.Epoch)
 	m.digest = fingerprint(m.Self)
@@ -144,11 +147,17 @@
 	m.answerRelays(from)
 }
 
-// Failed handles a message that was not answered in time.
+// Failed handles a message that was not answered in time. Only neighbours are
+// checked further: if each VM that was asked to help asked others in turn, the
+// messages about one dead VM would multiply.
 func (m *Machine) Failed(now time.Time, sent Send) {
 	m.observe(now)
-	if p := m.peers[sent.To.ID]; p != nil && p.State.Live() {
-		p.failedAt = now
+	p := m.peers[sent.To.ID]
+	if p == nil || !p.State.Live() {
+		return
+	}
+	p.failedAt = now
+	if slices.Contains(m.ring(), p.ID) {
 		m.check(p)
 	}
 }
--- a/core/wqmember/merge.go
+++ b/core/wqmember/merge.go
@@ -57,7 +57,7 @@
 		return
 	}
 	m.ringsChanged = true
-	m.spread(c.ID, rumour{full: true, urgent: true})
+	m.spread(c.ID, rumour{full: true})
 	if direct {
 		m.supersede(p)
 	}
@@ -88,7 +88,7 @@
 	if restarted {
 		p.introduced = false
 	}
-	m.spread(c.ID, rumour{full: restarted || !before.State.Live(), urgent: true})
+	m.spread(c.ID, rumour{full: restarted || !before.State.Live(), urgent: c.State != before.State})
 	if direct && restarted {
 		m.supersede(p)
 	}
@@ -122,6 +122,7 @@
 		return
 	}
 	m.raise(c.Incarnation)
+	m.urgent = true
 }
 
 // raise takes an incarnation over the given one and spreads it.
@@ -129,7 +130,6 @@
 	m.Self.Incarnation = max(over, m.Self.Incarnation) + 1
 	m.raisedAt = m.now
 	m.version++
-	m.urgent = true
 }
 
 // fingerprint returns the part of a digest that one VM makes up. Suspicion
--- a/core/wqmember/probe.go
+++ b/core/wqmember/probe.go
@@ -22,6 +22,8 @@
 	maxRelays    = 16 // maxRelays bounds the VMs that are checked for others at one time.
 	joinContacts = 3  // joinContacts is how many listed VMs a joining VM tries in a period.
 	listBurst    = 4  // listBurst is how many whole lists may be sent at once.
+	extrasBurst  = 64 // extrasBurst is how many messages beside the periodic ones may be sent at once.
+	extrasRate   = 16 // extrasRate is how many of them may be sent in a second, in the long run.
 )
 
 // ping sends one heartbeat when the period is over, to the neighbour whose last
@@ -58,18 +60,36 @@
 	m.outbox = append(m.outbox, Send{To: p.Member, At: m.now, Message: message})
 }
 
+// mayExtra reports whether one more message may be sent beside the periodic
+// ones, which bounds what a VM sends when many others fail at once.
+func (m *Machine) mayExtra() bool {
+	m.extras = min(extrasBurst, m.extras+extrasRate*m.now.Sub(m.extrasAt).Seconds())
+	m.extrasAt = m.now
+	if m.extras < 1 {
+		return false
+	}
+	m.extras--
+	return true
+}
+
 // check asks helpers to reach a VM that missed a heartbeat.
 func (m *Machine) check(p *peer) {
 	if _, running := m.checks[p.ID]; running || p.State == Suspect {
 		return
 	}
-	helpers := m.helpers(p.ID)
+	var helpers []*peer
+	if !m.Self.Isolated {
+		helpers = m.helpers(p.ID)
+	}
 	wait := m.Timing.CheckTimeout
-	if len(helpers) == 0 {
+	if len(m.peers) == 1 {
 		wait = 0
 	}
 	m.checks[p.ID] = check{m.now, m.now.Add(wait), p.Incarnation}
 	for _, h := range helpers {
+		if !m.mayExtra() {
+			return
+		}
 		message := m.compose(h.ID, m.Timing.Changes)
 		message.Probe = p.ID
 		m.send(h, message)
@@ -98,7 +118,7 @@
 		return
 	}
 	p := m.peers[id]
-	if p == nil || !p.State.Live() || len(m.relays) >= maxRelays {
+	if p == nil || !p.State.Live() || len(m.relays) >= maxRelays || !m.mayExtra() {
 		return
 	}
 	m.relays[id] = append(m.relays[id], relay{asker, m.now.Add(m.Timing.CheckTimeout)})
@@ -114,7 +134,7 @@
 	answered := m.peers[id]
 	for _, r := range waiting {
 		p := m.peers[r.id]
-		if p == nil || answered == nil || m.now.After(r.deadline) {
+		if p == nil || answered == nil || m.now.After(r.deadline) || !m.mayExtra() {
 			continue
 		}
 		message := m.compose(r.id, m.Timing.Changes)
--- a/core/wqmember/sync.go
+++ b/core/wqmember/sync.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		if !found || p.newer(known) {
-			m.spread(id, rumour{full: true, urgent: true})
+			m.spread(id, rumour{full: true})
 		}
 	}
 }
--- a/core/wqmember/timing.go
+++ b/core/wqmember/timing.go
@@ -35,7 +35,7 @@
 		Rings:        wqring.Rings{Regional: 3, Global: 1},
 		Period:       500 * time.Millisecond,
 		AckTimeout:   300 * time.Millisecond,
-		CheckTimeout: 400 * time.Millisecond,
+		CheckTimeout: 300 * time.Millisecond,
 		Suspicion:    time.Second,
 		FloodEvery:   250 * time.Millisecond,
 		Reconnect:    3 * time.Second,
