--- a/core/wqconfig/fetch.go
+++ b/core/wqconfig/fetch.go
@@ -8,6 +8,9 @@
 // fetch asks peers for what they have beyond this VM: one peer at a time, or as
 // many as must witness the first configuration.
 func (m *Machine[P]) fetch() {
+	if !m.behind() {
+		return
+	}
 	most := 1
 	if m.history == nil {
 		most = m.Timing.Witnesses
--- a/core/wqconfig/machine.go
+++ b/core/wqconfig/machine.go
@@ -47,6 +47,7 @@
 	offered  *wqhistory.History // offered is the highest configuration found before there was evidence enough to adopt one.
 	proved   bool               // proved is true once the store proved offered to be its newest.
 	peers    map[string]*peer
+	highest  uint64 // highest is the highest revision that a live peer is known to have.
 	watching bool
 	store    storeState
 	outbox   []Action
@@ -97,6 +98,7 @@
 		all = append(all, e)
 	}
 	m.peers = live
+	m.rank()
 	m.watching = m.Policy.Watches(m.Self, all)
 }
 
@@ -123,6 +125,7 @@
 func (m *Machine[P]) heard(e Heard) {
 	if p := m.peers[e.Peer]; p != nil {
 		p.Revision = max(p.Revision, e.Revision)
+		m.highest = max(m.highest, p.Revision)
 	}
 }
 
@@ -131,6 +134,7 @@
 	if p != nil {
 		p.fetching, p.answered = false, true
 		p.Revision = e.Update.Revision
+		m.rank()
 		p.retryAt = m.now.Add(m.jitter(m.Timing.Retry))
 	}
 	base := m.history
@@ -168,6 +172,9 @@
 	if !m.store.busy && m.store.nextAt.After(m.now) && m.store.nextAt.Before(next) {
 		next = m.store.nextAt
 	}
+	if !m.behind() {
+		return next
+	}
 	for _, p := range m.peers {
 		if m.useful(p) && p.retryAt.After(m.now) && p.retryAt.Before(next) {
 			next = p.retryAt
@@ -200,7 +207,7 @@
 // settle adopts the configuration on offer when there is evidence that it is
 // not from the past.
 func (m *Machine[P]) settle() {
-	if m.history != nil || m.offered == nil || m.offered.Revision() < m.highest() {
+	if m.history != nil || m.offered == nil || m.offered.Revision() < m.highest {
 		return
 	}
 	if m.proved || m.confirmed() {
@@ -222,13 +229,17 @@
 	return configured && answers >= min(m.Timing.Witnesses, len(m.peers))
 }
 
-// highest returns the highest revision that a live peer is known to have.
-func (m *Machine[P]) highest() uint64 {
-	highest := uint64(0)
+// rank finds the highest revision among the peers.
+func (m *Machine[P]) rank() {
+	m.highest = 0
 	for _, p := range m.peers {
-		highest = max(highest, p.Revision)
+		m.highest = max(m.highest, p.Revision)
 	}
-	return highest
+}
+
+// behind reports whether a peer may have something that this VM lacks.
+func (m *Machine[P]) behind() bool {
+	return m.history == nil || m.highest > m.history.Revision()
 }
 
 // jitter returns a time from d to half as much more.
--- a/core/wqconfig/machine_test.go
+++ b/core/wqconfig/machine_test.go
@@ -186,3 +186,25 @@
 		must.Eq(t, min(size, 2*zones), watchers)
 	}
 }
+
+// BenchmarkMembersAtTargetSize is the cost of a changed member list and of a
+// tick in a fleet of 920 VMs.
+func BenchmarkMembersAtTargetSize(b *testing.B) {
+	var all []wqmember.Member
+	for i := range 920 {
+		all = append(all, wqmember.Member{ID: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("z%d", i%9), Revision: 5})
+	}
+	m := newMachine("vm0", all...)
+	m.Handle(start, wqconfig.Accepted{History: histories(5)[5], StoreRevision: 1})
+	b.Run("members", func(b *testing.B) {
+		for b.Loop() {
+			m.SetMembers(start, all)
+		}
+	})
+	b.Run("tick", func(b *testing.B) {
+		for b.Loop() {
+			m.Tick(start)
+			m.Next()
+		}
+	})
+}
--- a/core/wqconfig/store.go
+++ b/core/wqconfig/store.go
@@ -86,7 +86,7 @@
 // stuck reports whether a higher revision is known but no peer can be asked
 // for it now.
 func (m *Machine[P]) stuck() bool {
-	if m.highest() <= m.history.Revision() {
+	if !m.behind() {
 		return false
 	}
 	for _, p := range m.peers {
--- a/core/wqconfig/timing.go
+++ b/core/wqconfig/timing.go
@@ -25,7 +25,7 @@
 		WatchWait:  3 * time.Second,
 		Pause:      50 * time.Millisecond,
 		ReadEvery:  2 * time.Second,
-		ReadRate:   1024,
+		ReadRate:   512,
 		Idle:       time.Second,
 		Witnesses:  2,
 	}
--- a/io/wqdocument/document_test.go
+++ b/io/wqdocument/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -192,3 +193,22 @@
 		}
 	})
 }
+
+// BenchmarkMemoryAtTargetSize reports what a VM keeps of the configuration.
+func BenchmarkMemoryAtTargetSize(b *testing.B) {
+	value, err := wqdocument.EncodeTopology(sized(7100, 9))
+	must.NoError(b, err)
+	kept := make([]*wqtopology.Index, 0, b.N)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		h, err := wqdocument.DecodeHistory(value)
+		must.NoError(b, err)
+		kept = append(kept, wqtopology.NewIndex(h.Topology))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(kept)), "kept-B/op")
+	runtime.KeepAlive(kept)
+}
