Rest from searchers that answer nothing

Cause: with a limit of one, a lane sent each sub-query to a searcher that shed all of them, and each came back to be sent elsewhere. Change: after two requests in vain in a row the lane refuses at once for one mean latency, doubling up to 500 ms, until something is answered. Figures: go test ./core/wqlane: of one offer a millisecond over 3 s to a searcher that sheds all, at most 15 are sent (each was before); the first answer comes within 500 ms of the recovery.

--- a/core/wqlane/lane.go
+++ b/core/wqlane/lane.go
@@ -65,6 +65,7 @@
 	limiter wqlimit.Limiter[P]
 	gate    wqcold.Gate
 	queue   wqqueue.Queue[Job[T]]
+	rest    rest
 	batch   int
 	mean    time.Duration
 }
@@ -106,11 +107,12 @@
 // and those to refuse because too little time is left. No jobs to send means
 // that a slot or work is lacking.
 func (l *Lane[T, P]) Next(now time.Time) (send, refuse []T) {
-	if l.limiter.InFlight() == 0 && l.allowed(now) == 0 {
+	allowed := l.allowed(now)
+	if allowed == 0 && (l.limiter.InFlight() == 0 || l.rest.resting(now)) {
 		return nil, l.dropAll()
 	}
 	refuse = l.dropHopeless(now)
-	if l.queue.Len() == 0 || !l.limiter.Acquire(l.gate.Allowed(now)) {
+	if l.queue.Len() == 0 || !l.limiter.Acquire(allowed) {
 		return nil, refuse
 	}
 	return l.take(), refuse
@@ -120,6 +122,7 @@
 func (l *Lane[T, P]) Done(now time.Time, o Outcome) {
 	l.limiter.Release(wqlimit.Sample{Started: o.Started, Ended: now, Status: o.Status})
 	l.learn(now, o)
+	l.rest.observe(o.Started, now, o.Status, l.mean)
 	took := now.Sub(o.Started)
 	if o.Status == wqreport.Answered || (o.Status == wqreport.Expired && took > l.mean) {
 		l.measure(took)
@@ -158,6 +161,9 @@
 func (l *Lane[T, P]) InFlight() int { return l.limiter.InFlight() }
 
 func (l *Lane[T, P]) allowed(now time.Time) int {
+	if l.rest.resting(now) {
+		return 0
+	}
 	return min(l.limiter.Limit(), l.gate.Allowed(now))
 }
 
--- a/core/wqlane/lane_test.go
+++ b/core/wqlane/lane_test.go
@@ -167,3 +167,29 @@
 	must.SliceLen(t, 1, send)
 	must.False(t, l.Offer(at(1000), job(1, 1050)))
 }
+
+// A target that sheds everything gets few requests, and its recovery is noticed
+// within the longest rest.
+func TestLaneRestsFromShedding(t *testing.T) {
+	l := newLane(2, 1, 1)
+	warmUp(t, l)
+	requests, recovered := 0, 0
+	for now := 100; now < 4000 && recovered == 0; now++ {
+		if !l.Offer(at(now), job(now, now+80)) {
+			continue
+		}
+		send, _ := l.Next(at(now))
+		must.SliceLen(t, 1, send)
+		status := wqreport.Shed
+		if now >= 3000 {
+			status = wqreport.Answered
+			recovered = now
+		}
+		requests++
+		l.Done(at(now+1), wqlane.Outcome{Started: at(now), Status: status, Replied: true, Incarnation: "a"})
+	}
+	must.LessEq(t, 15, requests)
+	must.LessEq(t, 3500, recovered)
+	must.Positive(t, recovered)
+	must.True(t, l.Offer(at(recovered+1), job(0, recovered+100)))
+}
