--- a/io/wqsetting/settings.go
+++ b/io/wqsetting/settings.go
@@ -63,7 +63,5 @@
 	BalancerLag  time.Duration `long:"balancer-lag" env:"WISTERIAQUAY_BALANCER_LAG" default:"2s" description:"how long the balancer may still send callers here after /readyz fails"`
 	StopLimit    time.Duration `long:"stop-limit" env:"WISTERIAQUAY_STOP_LIMIT" default:"45s" description:"longest time from the stop signal to the exit"`
 	TicketLife   time.Duration `long:"ticket-life" env:"WISTERIAQUAY_TICKET_LIFE" default:"30s" description:"how long the ticket of a write-like request may be used"`
-	MaxQueries   int           `long:"max-queries" env:"WISTERIAQUAY_MAX_QUERIES" default:"512" description:"most queries in progress on this VM"`
-	MaxFanOut    int           `long:"max-fan-out" env:"WISTERIAQUAY_MAX_FAN_OUT" default:"4096" description:"most shards that one query may touch"`
 	LogPerSecond int           `long:"log-per-second" env:"WISTERIAQUAY_LOG_PER_SECOND" default:"5" description:"most log lines a second below the level of error"`
 }
--- a/io/wqsetting/validate.go
+++ b/io/wqsetting/validate.go
@@ -15,8 +15,7 @@
 	maxNameBytes   = 64
 	minTokenBytes  = 16
 	maxHoldersMost = 16
-	maxQueriesMost = 1 << 16
-	maxFanOutMost  = 1 << 16
+	maxLogMost     = 1000
 	shortestPeriod = 50 * time.Millisecond
 	longestPeriod  = 10 * time.Minute
 )
@@ -100,9 +99,7 @@
 
 func (l *Limits) check(f *faults) {
 	checkRange(f, "max-holders", l.MaxHolders, maxHoldersMost)
-	checkRange(f, "max-queries", l.MaxQueries, maxQueriesMost)
-	checkRange(f, "max-fan-out", l.MaxFanOut, maxFanOutMost)
-	checkRange(f, "log-per-second", l.LogPerSecond, maxQueriesMost)
+	checkRange(f, "log-per-second", l.LogPerSecond, maxLogMost)
 	checkPeriod(f, "heartbeat", l.Heartbeat)
 	checkPeriod(f, "ticket-life", l.TicketLife)
 	checkPeriod(f, "stop-limit", l.StopLimit)
