Don't take a closed idle connection for a restart

Cause: a searcher that closes connections for being idle made every holder treat it as cold, which stops a holder without cold slots for the cold time. And a request could get a connection that the client had just dropped after a crossed reply: TestMismatchClosesConnection saw unreachable instead of broken in 1 of 4 runs under the race detector on a busy machine. Change: a connection unused for 5 s may close alone without a meaning; a request of which nothing was written, on a connection that this client itself dropped, takes another one. A test that connections are made before use.

--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -37,6 +37,9 @@
 	// defaultLateReply is how much longer than its time a reply to a write-like
 	// request is waited for.
 	defaultLateReply = 2 * time.Second
+	// defaultStaleAfter is well above the time between two health probes and
+	// well below the idle timeouts of servers.
+	defaultStaleAfter = 5 * time.Second
 	// defaultReplyBytes bounds the body of a reply, in bytes.
 	defaultReplyBytes = 8 << 20
 )
@@ -47,7 +50,8 @@
 	ConnectTimeout time.Duration           // ConnectTimeout bounds the making of a connection.
 	ReplyBytes     int64                   // ReplyBytes bounds the body of a reply, in bytes.
 	LateReply      time.Duration           // LateReply is how much longer than its time the reply to a write-like request is waited for.
-	Lost           func(searcherID string) // Lost is called when a searcher closes an idle connection: it may have restarted.
+	StaleAfter     time.Duration           // StaleAfter is how long a connection is unused before its end means nothing, while others are open.
+	Lost           func(searcherID string) // Lost is called when a searcher closes an idle connection, and when the last one closes: it may have restarted.
 
 	mu    sync.RWMutex
 	links map[string]*link
@@ -59,6 +63,7 @@
 		ConnectTimeout: defaultConnectTimeout,
 		ReplyBytes:     defaultReplyBytes,
 		LateReply:      defaultLateReply,
+		StaleAfter:     defaultStaleAfter,
 		Lost:           func(string) {},
 		links:          make(map[string]*link),
 	}
@@ -123,9 +128,8 @@
 	if l != nil {
 		l.transport.CloseIdleConnections()
 	}
-	id := s.ID
-	l = newLink(s, c.ConnectTimeout, func() { c.Lost(id) })
-	c.links[id] = l
+	l = c.newLink(s)
+	c.links[s.ID] = l
 	return l
 }
 
--- a/io/wqtarget/client_test.go
+++ b/io/wqtarget/client_test.go
@@ -312,3 +312,29 @@
 	must.NoError(t, err)
 	must.Eq(t, "ok", string(reply.Body))
 }
+
+// A searcher that closes a connection for being idle did not restart, as long
+// as a connection in use stays open.
+func TestIdleTimeoutIsNoLoss(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		_, _ = io.WriteString(w, `{"ready":true}`)
+	}))
+	server.Config.IdleTimeout = 100 * time.Millisecond
+	server.Start()
+	defer server.Close()
+	c := newClient(t)
+	c.StaleAfter = 50 * time.Millisecond
+	lost := make(chan string, 8)
+	c.Lost = func(id string) { lost <- id }
+	s := searcherAt(strings.TrimPrefix(server.URL, "http://"), 30)
+	must.NoError(t, c.Warm(soon(t), s, 3))
+	for range 30 {
+		_, err := c.Health(soon(t), s)
+		must.NoError(t, err)
+		time.Sleep(5 * time.Millisecond)
+	}
+	must.EqOp(t, 0, len(lost))
+	server.CloseClientConnections()
+	must.EqOp(t, "s-1", <-lost)
+}
--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // The phases of a connection, kept in the low bits of its state; the high bits
@@ -22,9 +23,13 @@
 	net.Conn
 	link   *link
 	state  atomic.Uint64
-	failed atomic.Bool // failed is true once a read failed.
+	used   atomic.Int64 // used is when the last request ended, in nanoseconds since 1970.
+	failed atomic.Bool  // failed is true once a read failed.
 	closed atomic.Bool
-	lost   sync.Once
+	// dropped is true once this client closed it after a request that failed;
+	// the transport may still have it among the idle ones.
+	dropped atomic.Bool
+	lost    sync.Once
 }
 
 // begin starts the next request and returns its number.
@@ -41,6 +46,7 @@
 // end leaves the connection idle after a whole reply, unless the next request
 // has begun.
 func (c *connection) end(number uint64) {
+	c.used.Store(time.Now().UnixNano())
 	if c.state.CompareAndSwap(number|phaseWriting, number) && c.failed.Load() {
 		c.reportLost()
 	}
@@ -74,13 +80,19 @@
 	n, err := c.Conn.Read(b)
 	if err != nil && !c.closed.Load() {
 		c.failed.Store(true)
-		if c.state.Load()&phaseMask == phaseIdle {
+		if c.state.Load()&phaseMask == phaseIdle && !c.stale() {
 			c.reportLost()
 		}
 	}
 	return n, err
 }
 
+// stale reports whether the connection was unused for so long that the searcher
+// may have closed it for that alone. A restart closes fresher ones with it.
+func (c *connection) stale() bool {
+	return time.Since(time.Unix(0, c.used.Load())) > c.link.staleAfter
+}
+
 func (c *connection) reportLost() { c.lost.Do(c.link.lost) }
 
 // Close closes the connection and returns it to the share.
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -107,24 +107,34 @@
 func (x *exchange) run(ctx context.Context, method, path string, body []byte) ([]byte, error) {
 	l := x.client.link(x.searcher)
 	defer l.trim()
+	response, err := x.roundTrip(ctx, l, method, path, body)
+	for err != nil && x.conn != nil && x.conn.dropped.Load() && !x.conn.seal(x.number) {
+		response, err = x.roundTrip(ctx, l, method, path, body)
+	}
+	if err != nil {
+		return nil, x.failed(ctx, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	x.status = response.StatusCode
+	return x.read(ctx, response)
+}
+
+// roundTrip writes the request. Only a request of which nothing was written,
+// since this client itself had dropped the connection, may be written again.
+func (x *exchange) roundTrip(ctx context.Context, l *link, method, path string, body []byte) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		x.conn = i.Conn.(*connection)
 		x.number = x.conn.begin()
 		x.claim.Store(&claim{x.conn, x.number})
 	}}
+	x.conn = nil
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, l.base+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, newFailure(wqreport.Unreachable, false, err.Error())
+		return nil, err
 	}
 	request.GetBody = nil // The transport must not repeat a request.
 	request.Header.Set("Content-Type", "application/json")
-	response, err := l.transport.RoundTrip(request)
-	if err != nil {
-		return nil, x.failed(ctx, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	x.status = response.StatusCode
-	return x.read(ctx, response)
+	return l.transport.RoundTrip(request)
 }
 
 func (x *exchange) read(ctx context.Context, response *http.Response) ([]byte, error) {
@@ -173,6 +183,7 @@
 
 func (x *exchange) drop() {
 	if x.conn != nil {
+		x.conn.dropped.Store(true)
 		_ = x.conn.Close()
 	}
 }
--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -16,10 +16,11 @@
 
 // link owns the connections to one searcher.
 type link struct {
-	transport *http.Transport
-	base      string
-	dialer    net.Dialer
-	lost      func()
+	transport  *http.Transport
+	base       string
+	dialer     net.Dialer
+	staleAfter time.Duration
+	lost       func()
 
 	mu    sync.Mutex
 	limit int
@@ -30,13 +31,15 @@
 
 var errNoConnection = errors.New("all connections of this VM's share are in use")
 
-func newLink(s *wqtopology.Searcher, connectTimeout time.Duration, lost func()) *link {
+func (c *Client) newLink(s *wqtopology.Searcher) *link {
+	id := s.ID
 	l := &link{
-		base:   "http://" + s.Address,
-		dialer: net.Dialer{Timeout: connectTimeout},
-		lost:   lost,
-		limit:  max(s.Connections, 1),
-		freed:  make(chan struct{}),
+		base:       "http://" + s.Address,
+		dialer:     net.Dialer{Timeout: c.ConnectTimeout},
+		staleAfter: c.StaleAfter,
+		lost:       func() { c.Lost(id) },
+		limit:      max(s.Connections, 1),
+		freed:      make(chan struct{}),
 	}
 	l.transport = &http.Transport{
 		DialContext:            l.dial,
--- a/test/wqsearcher/cold_test.go
+++ b/test/wqsearcher/cold_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"wisteriaquay/core/wqhold"
 	"wisteriaquay/core/wqmember"
@@ -212,3 +213,14 @@
 		f.views[i].Store(&v)
 	}
 }
+
+// A new holder connects before the first request, within its share.
+func TestConnectionsAreMadeBeforeUse(t *testing.T) {
+	f := startFleet(t, 3, bench())
+	run(t, f.startHolders(t))
+	for _, s := range f.servers {
+		must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.Counters().MaxConnections >= 3 }),
+			wait.Timeout(5*time.Second), wait.Gap(time.Millisecond)))
+		must.EqOp(t, 0, s.Counters().Requests)
+	}
+}
