Let the admission limit follow what runs, and retry refusals later

With real processes at twice the load the limit started at 64 while five queries ran on each VM, so that cuts had no effect for a minute: 3% of the answers were whole. A cut now starts from what ran at once, a VM may go down to one query, and a window needs 5 finished queries. A shard that all holders refused is asked again after an eighth of the time left, for a retry from the budget, instead of within milliseconds. A refusal by a holder counts as shed.

Slots of a searcher that are split one to a VM leave some idle while others refuse.

--- a/cmd/wisteriaquay/cmd_load.go
+++ b/cmd/wisteriaquay/cmd_load.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"golang.org/x/term"
@@ -25,6 +26,7 @@
 	Entries     []string      `long:"entry" env:"WISTERIAQUAY_ENTRIES" env-delim:"," default:"http://127.0.0.1:7400" description:"URL of an entry VM; may be repeated"`
 	Ready       []string      `long:"ready" env:"WISTERIAQUAY_READY" env-delim:"," description:"URL of the readiness endpoint of the entry in the same place; may be repeated"`
 	Scale       float64       `long:"scale" env:"WISTERIAQUAY_LOAD_SCALE" default:"1" description:"multiplies all rates"`
+	Services    []string      `long:"service" env:"WISTERIAQUAY_LOAD_SERVICES" env-delim:"," description:"sends the load of this service only; may be repeated"`
 	Seconds     float64       `long:"seconds" env:"WISTERIAQUAY_LOAD_SECONDS" default:"10" description:"how long queries are sent"`
 	Warm        float64       `long:"warm-seconds" env:"WISTERIAQUAY_LOAD_WARM_SECONDS" default:"3" description:"how long queries are sent before that, uncounted"`
 	Seed        uint64        `long:"seed" env:"WISTERIAQUAY_LOAD_SEED" default:"1" description:"seed of the arrivals and requests"`
@@ -65,13 +67,16 @@
 		_, err = fmt.Fprintln(c.Out, string(data))
 		return err
 	}
+	if len(o.streams(&shape)) == 0 {
+		return wqfault.New(wqfault.BadInput, fmt.Sprintf("%s has none of the services %q", name, o.Services), "correct --service")
+	}
 	entries, err := o.entries()
 	if err != nil {
 		return err
 	}
 	run := &wqload.Load{
 		Entries:     entries,
-		Streams:     shape.Streams(o.Scale),
+		Streams:     o.streams(&shape),
 		Seconds:     o.Seconds,
 		WarmSeconds: o.Warm,
 		Seed:        o.Seed,
@@ -87,6 +92,15 @@
 	return o.write(c, &report)
 }
 
+// streams returns the load of the services that were named, else of all.
+func (o *loadOptions) streams(shape *wqshape.Shape) []wqload.Stream {
+	all := shape.Streams(o.Scale)
+	if len(o.Services) == 0 {
+		return all
+	}
+	return slices.DeleteFunc(all, func(s wqload.Stream) bool { return !slices.Contains(o.Services, s.Service) })
+}
+
 func (o *loadOptions) entries() ([]wqload.Entry, error) {
 	if len(o.Ready) != 0 && len(o.Ready) != len(o.Entries) {
 		message := fmt.Sprintf("%d --ready for %d --entry", len(o.Ready), len(o.Entries))
--- a/cmd/wqload/query.go
+++ b/cmd/wqload/query.go
@@ -42,9 +42,18 @@
 		Covered: int(a.GetShardsAnswered()),
 		Sent:    int(a.GetSubQueriesSent()),
 		Hedges:  int(a.GetHedgesSent()),
+		Missing: reasons(a),
 	})
 }
 
+func reasons(a *wqpb.QueryResponse) []string {
+	why := make([]string, 0, len(a.GetMissing()))
+	for _, m := range a.GetMissing() {
+		why = append(why, m.GetReason())
+	}
+	return why
+}
+
 // refusal returns the kind that an entry named, or what the connection says.
 func refusal(err error) string {
 	var failed *connect.Error
--- a/cmd/wqtally/line.go
+++ b/cmd/wqtally/line.go
@@ -21,6 +21,7 @@
 	Coverage   float64        `json:"coverage"`        // Coverage is the share of shards answered, over all answers.
 	SentShare  float64        `json:"sent_per_needed"` // SentShare is sub-queries sent for each one needed.
 	HedgeShare float64        `json:"hedges_per_needed"`
+	Missing    map[string]int `json:"missing"` // Missing counts shards that did not answer, by reason.
 	Refusals   map[string]int `json:"refusals"`
 	Wrong      map[string]int `json:"wrong"`
 }
@@ -53,6 +54,7 @@
 		Coverage:   share(t.covered, t.total),
 		SentShare:  share(t.sent, t.total),
 		HedgeShare: share(t.hedges, t.total),
+		Missing:    maps.Clone(t.missing),
 		Refusals:   maps.Clone(t.refusals),
 		Wrong:      maps.Clone(t.wrong),
 	}
@@ -88,8 +90,8 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	_, err := fmt.Fprintf(out, "seed %d, %.1f s, %d offered, %d skipped, searchers ran %d sub-queries, refusals %v, wrong %v\n",
-		r.Seed, r.Seconds, r.Offered, r.Skipped, r.ShardsRan, r.Total.Refusals, r.Total.Wrong)
+	_, err := fmt.Fprintf(out, "seed %d, %.1f s, %d offered, %d skipped, searchers ran %d sub-queries, missing %v, refusals %v, wrong %v\n",
+		r.Seed, r.Seconds, r.Offered, r.Skipped, r.ShardsRan, r.Total.Missing, r.Total.Refusals, r.Total.Wrong)
 	return err
 }
 
--- a/cmd/wqtally/tally.go
+++ b/cmd/wqtally/tally.go
@@ -33,6 +33,7 @@
 	covered  int
 	sent     int
 	hedges   int
+	missing  map[string]int
 	refusals map[string]int
 	wrong    map[string]int
 }
@@ -44,6 +45,7 @@
 	Covered int           // Covered is the shards that answered.
 	Sent    int
 	Hedges  int
+	Missing []string // Missing holds the reason for each shard that did not answer.
 }
 
 // NewTally returns an empty tally.
@@ -51,6 +53,7 @@
 	return &Tally{
 		Name:     name,
 		latency:  hdrhistogram.New(1, longest.Microseconds(), digits),
+		missing:  make(map[string]int),
 		refusals: make(map[string]int),
 		wrong:    make(map[string]int),
 	}
@@ -66,6 +69,9 @@
 	t.covered += a.Covered
 	t.sent += a.Sent
 	t.hedges += a.Hedges
+	for _, why := range a.Missing {
+		t.missing[why]++
+	}
 	if a.Total > 0 && a.Covered == a.Total {
 		t.whole++
 	}
@@ -98,10 +104,13 @@
 	t.covered += other.covered
 	t.sent += other.sent
 	t.hedges += other.hedges
-	for k, n := range other.refusals {
-		t.refusals[k] += n
-	}
-	for k, n := range other.wrong {
-		t.wrong[k] += n
+	add(t.missing, other.missing)
+	add(t.refusals, other.refusals)
+	add(t.wrong, other.wrong)
+}
+
+func add(counts, more map[string]int) {
+	for k, n := range more {
+		counts[k] += n
 	}
 }
--- a/core/wqadmit/limit.go
+++ b/core/wqadmit/limit.go
@@ -4,10 +4,10 @@
 
 const (
 	window       = 100 * time.Millisecond // window is how often the limit is adjusted.
-	leastDone    = 10                     // leastDone is how many finished queries an adjustment needs.
+	leastDone    = 5                      // leastDone is how many finished queries an adjustment needs.
 	strainShare  = 0.03                   // strainShare of strained queries lowers the limit.
 	spread       = 3                      // spread is how many shards must refuse in a window to count as strain; fewer are sick shards.
-	deepestCut   = 0.85                   // deepestCut is the lowest factor after a strained window.
+	deepestCut   = 0.7                    // deepestCut is the lowest factor after a strained window.
 	slowCut      = 0.95                   // slowCut is the factor after a slow window.
 	nearCeiling  = 0.9                    // nearCeiling is the share of the last strained limit below which the limit rises fast.
 	fastRise     = 0.25                   // fastRise is what a window adds below it, as a share of the limit.
@@ -131,11 +131,12 @@
 	l.allowed = min(max(l.allowed, float64(l.bounds.Least)), float64(l.bounds.Most))
 }
 
+// lower cuts what ran at once, which may be far below the limit.
 func (l *limit) lower(factor float64) {
 	l.settled = false
-	l.ceiling = l.allowed
+	l.ceiling = min(l.allowed, float64(max(l.current.peak, 1)))
 	l.clean = 0
-	l.allowed *= factor
+	l.allowed = l.ceiling * factor
 }
 
 func (l *limit) raise() {
--- a/core/wqanswer/answer.go
+++ b/core/wqanswer/answer.go
@@ -7,7 +7,7 @@
 const (
 	Late         Reason = "late"          // Late means that no replica answered before the deadline.
 	SnapshotGone Reason = "snapshot_gone" // SnapshotGone means that no replica serves the snapshot of the answer.
-	Shed         Reason = "shed"          // Shed means that its replicas refused for load.
+	Shed         Reason = "shed"          // Shed means that its replicas, or the VMs that hold them, refused to run it.
 	Unreachable  Reason = "unreachable"   // Unreachable means that no replica could be sent the sub-query.
 	NotHeld      Reason = "not_held"      // NotHeld means that no VM holds a replica.
 	ZoneOut      Reason = "zone_out"      // ZoneOut means that its replicas are in zones that are taken out.
--- a/core/wqfanout/result.go
+++ b/core/wqfanout/result.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	firstBackoff = 5 * time.Millisecond // firstBackoff is the pause after every candidate was tried in vain; it doubles.
+	leastBackoff = 5 * time.Millisecond // leastBackoff is the shortest pause after every candidate was tried in vain.
+	backoffParts = 8                    // backoffParts divides the time left into such pauses.
 	maxRounds    = 4                    // maxRounds is how often all candidates of a shard are tried.
 )
 
@@ -111,13 +112,9 @@
 		q.lost = true
 		return
 	}
-	if s.reason == wqanswer.Shed && !q.Retry.Spend(now, 1) {
-		q.settleShard(now, place, s.reason)
-		return
-	}
 	s.rounds++
-	pause := firstBackoff << s.rounds
-	if s.rounds >= maxRounds || now.Add(pause).After(q.Deadline) {
+	pause := max(leastBackoff, q.Deadline.Sub(now)/backoffParts)
+	if s.rounds >= maxRounds || now.Add(pause).After(q.Deadline) || !q.Retry.Spend(now, 1) {
 		q.settleShard(now, place, s.reason)
 		return
 	}
@@ -130,9 +127,9 @@
 	switch s {
 	case wqreport.SnapshotGone:
 		return wqanswer.SnapshotGone
-	case wqreport.Shed:
+	case wqreport.Shed, wqreport.NotRun:
 		return wqanswer.Shed
-	case wqreport.Draining, wqreport.Unreachable, wqreport.NotRun:
+	case wqreport.Draining, wqreport.Unreachable:
 		return wqanswer.Unreachable
 	case wqreport.NotHeld:
 		return wqanswer.NotHeld
--- a/io/wqentry/door.go
+++ b/io/wqentry/door.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	leastQueries = 4    // leastQueries is how many queries of a service may always run at once.
+	leastQueries = 1    // leastQueries is how many queries of a service may always run at once.
 	mostQueries  = 4096 // mostQueries is the most queries of a service that run at once.
 	firstQueries = 64   // firstQueries is how many run at once before anything was measured.
 )
