Hold searchers in groups, so that a query makes few calls

Cause: with each searcher held by VMs of its own, a query of 1,600 shards spreads over 757 of 920 VMs, about two sub-queries a call: at 120,000 queries/s every VM would make and take 99,000 calls/s. Change: a searcher may name a group; the searchers of one group and zone are held by the same VMs, and the first sends of a group share their draw.

--- a/core/wqfanout/query.go
+++ b/core/wqfanout/query.go
@@ -60,6 +60,7 @@
 	sent    int // sent counts sub-queries but for those proven not to have reached a target.
 	hedges  int
 	done    bool
+	spread  uint64 // spread differs the draws of groups from query to query.
 }
 
 type span struct{ oldest, newest uint64 }
@@ -82,6 +83,7 @@
 func (q *Query[R, H]) Start(now time.Time, v *wqview.View) Step {
 	q.sheets = make(map[uint64]*wqanswer.Sheet, 1)
 	q.began = now
+	q.spread = q.Random()
 	first := q.firstSnapshot(v)
 	q.held = make(map[string]span, len(q.sheet(v, first).Shards()))
 	q.begin(now, v, first)
--- a/core/wqfanout/send.go
+++ b/core/wqfanout/send.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wisteriaquay/core/wqanswer"
 	"wisteriaquay/core/wqreplica"
 	"wisteriaquay/core/wqtopology"
@@ -19,7 +21,7 @@
 // dispatch sends a shard's sub-query to a candidate that was not tried yet.
 func (q *Query[R, H]) dispatch(now time.Time, v *wqview.View, place int) {
 	candidates, why := q.candidates(v, place, false)
-	i := q.Replica.Pick(now, candidates, q.Random())
+	i := q.Replica.Pick(now, candidates, q.draw(v, place))
 	if i < 0 {
 		q.exhausted(now, v, place, why)
 		return
@@ -183,3 +185,13 @@
 	}
 	return false
 }
+
+// draw returns the random number of a first send. The searchers of one group
+// share it, so that their sub-queries tend to travel in one call.
+func (q *Query[R, H]) draw(v *wqview.View, place int) uint64 {
+	replicas := v.Index.Replicas(q.Service, q.pass.sheet.Shards()[place])
+	if len(replicas) == 0 || replicas[0].Group == "" {
+		return q.Random()
+	}
+	return xxhash.Sum64String(replicas[0].Group) ^ q.spread
+}
--- a/core/wqhold/hold.go
+++ b/core/wqhold/hold.go
@@ -133,7 +133,7 @@
 	count := min(len(candidates), l.MaxHolders, max(s.Slots, 1), max(s.Connections, 1))
 	best := make([]candidate, 0, count+1)
 	weights := make([]uint64, 0, count+1)
-	hash := xxhash.Sum64String(s.ID)
+	hash := xxhash.Sum64String(key(s))
 	for _, c := range candidates {
 		weight := mix(c.hash ^ hash)
 		i := len(best)
@@ -169,3 +169,11 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
+
+// key returns what the holders of a searcher are chosen by.
+func key(s *wqtopology.Searcher) string {
+	if s.Group != "" {
+		return s.Group
+	}
+	return s.ID
+}
--- a/core/wqhold/table.go
+++ b/core/wqhold/table.go
@@ -110,7 +110,7 @@
 	if b == nil {
 		return false
 	}
-	return a.Zone == b.Zone && a.Slots == b.Slots && a.Connections == b.Connections && a.ColdSlots == b.ColdSlots
+	return key(a) == key(b) && a.Zone == b.Zone && a.Slots == b.Slots && a.Connections == b.Connections && a.ColdSlots == b.ColdSlots
 }
 
 func region(x *wqtopology.Index, s *wqtopology.Searcher) string {
--- a/core/wqnote/check.go
+++ b/core/wqnote/check.go
@@ -83,6 +83,9 @@
 	checkName(f, who+": id", s.ID)
 	checkName(f, who+": service", s.Service)
 	checkName(f, who+": shard", s.Shard)
+	if s.Group != "" {
+		checkName(f, who+": group", s.Group)
+	}
 	f.add(!isAddress(s.Address), fmt.Sprintf("%s: address %q is not an IP number and port", who, s.Address), "use a form such as 192.0.2.7:9000")
 	f.add(x.addresses[s.Address] > 1, fmt.Sprintf("%s: address %s belongs to another searcher too", who, s.Address), "give each searcher an address of its own")
 	f.add(x.Zone(s.Zone) == nil, fmt.Sprintf("%s: zone %q does not exist", who, s.Zone), "correct the zone, or add it")
--- a/core/wqtopology/topology.go
+++ b/core/wqtopology/topology.go
@@ -41,11 +41,12 @@
 	Zone        string
 	Service     string // Service names the index that it serves.
 	Shard       string
-	Slots       int // Slots is how many requests it runs at once, over all VMs.
-	Connections int // Connections is how many it accepts, over all VMs.
-	Batch       int // Batch is how many sub-queries it takes in one request; 0 and 1 mean one.
-	ColdSlots   int // ColdSlots is how many requests it bears at once in cold start, over all VMs.
-	WarmMillis  int // WarmMillis is how long its cold start lasts under light load, in milliseconds.
+	Group       string // Group names searchers that the same VMs of a zone hold, so that a query reaches them in one call; empty for one alone.
+	Slots       int    // Slots is how many requests it runs at once, over all VMs.
+	Connections int    // Connections is how many it accepts, over all VMs.
+	Batch       int    // Batch is how many sub-queries it takes in one request; 0 and 1 mean one.
+	ColdSlots   int    // ColdSlots is how many requests it bears at once in cold start, over all VMs.
+	WarmMillis  int    // WarmMillis is how long its cold start lasts under light load, in milliseconds.
 }
 
 // Zone is an availability zone.
--- a/io/wqdocument/entry.go
+++ b/io/wqdocument/entry.go
@@ -11,6 +11,7 @@
 	Zone        string `json:"zone"`
 	Service     string `json:"service"`
 	Shard       string `json:"shard"`
+	Group       string `json:"group,omitempty"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	Batch       int    `json:"batch,omitempty"`
