Test that regions meet again and that old lists don't count

Two of 18 deliberate faults went unnoticed by the tests: no attempts to reach dead VMs, and a whole list asked for before a pause taken as fresh. Each has a test now, seen red with the fault; the other 16 were caught before.

--- a/core/wqmember/machine_test.go
+++ b/core/wqmember/machine_test.go
@@ -289,6 +289,46 @@
 	must.EqOp(t, wqmember.Dead, n.state("vm-6"), must.Sprint("it must learn what happened meanwhile"))
 }
 
+func TestListAskedForBeforePauseDoesNotCount(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := alone(now)
+	m.Seed(now, []wqmember.Listed{{ID: "vm-b", Address: "vm-b:70", Region: "r"}})
+	sent := m.Tick(now)[0]
+	must.True(t, sent.Message.Joining)
+	list := wqmember.Message{From: peerOf("vm-b"), Whole: true}
+	now = now.Add(10 * time.Second)
+	m.Ack(now, sent, list)
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		m.Tick(now)
+		must.True(t, m.Isolated(), must.Sprint("a list that waited during a pause must not end the isolation"))
+	}
+	sent.At = now
+	m.Ack(now, sent, list)
+	now = now.Add(2 * time.Second)
+	m.Tick(now)
+	must.False(t, m.Isolated())
+}
+
+func TestRegionsThatLostEachOtherMeetAgain(t *testing.T) {
+	f := newFleet(6, 16)
+	for i, n := range f.nodes {
+		n.Self.Region = fmt.Sprintf("r%d", i/3)
+	}
+	took := f.until(joinTime, f.agreed)
+	must.Less(t, joinTime, took)
+	split(f, 3)
+	f.run(time.Minute)
+	for _, n := range f.nodes {
+		must.False(t, n.Isolated(), must.Sprint("a region that lost the other one goes on"))
+		must.EqOp(t, wqmember.Dead, f.nodes[5].state("vm-0"))
+		f.do(n, func() { n.Seed(f.now, nil) })
+	}
+	f.cut = func(string, string) bool { return false }
+	took = f.until(30*time.Second, f.agreed)
+	must.Less(t, 10*time.Second, took, must.Sprint("regions must meet again within 10 s"))
+}
+
 func TestDigestRepairsLostRumours(t *testing.T) {
 	f := joined(t, 20, 13)
 	f.filter = func(m wqmember.Message) wqmember.Message {
