--- a/cmd/wisteriaquay/cmd_load.go
+++ b/cmd/wisteriaquay/cmd_load.go
@@ -117,9 +117,10 @@
 }
 
 func (o *loadOptions) client() *http.Client {
-	c := newHTTPClient(o.Timeout)
-	c.Transport = &http.Transport{MaxIdleConnsPerHost: loadConnections}
-	return c
+	return &http.Client{
+		Timeout:   o.Timeout + slack,
+		Transport: &http.Transport{MaxIdleConnsPerHost: loadConnections},
+	}
 }
 
 // progress returns where progress goes: the terminal, if there is one.
--- a/cmd/wisteriaquay/cmd_query.go
+++ b/cmd/wisteriaquay/cmd_query.go
@@ -38,7 +38,11 @@
 }
 
 func query(ctx context.Context, c console, o *queryOptions, text string) error {
-	client := wqpbconnect.NewQueryServiceClient(newHTTPClient(o.Timeout), o.Entry)
+	reach, err := o.client(o.Timeout)
+	if err != nil {
+		return err
+	}
+	client := wqpbconnect.NewQueryServiceClient(reach, o.Entry)
 	response, err := client.Query(ctx, connect.NewRequest(&wqpb.QueryRequest{
 		RequestId:     rand.Text(),
 		Tenant:        o.Tenant,
--- a/cmd/wisteriaquay/cmd_status.go
+++ b/cmd/wisteriaquay/cmd_status.go
@@ -27,9 +27,13 @@
 		if _, err := parse(o, "status", args, 0); err != nil {
 			return err
 		}
+		client, err := o.operator(statusTime)
+		if err != nil {
+			return err
+		}
 		r := connect.NewRequest(&wqpb.StatusRequest{})
 		o.authorize(r.Header())
-		m, err := o.client(statusTime).Status(ctx, r)
+		m, err := client.Status(ctx, r)
 		if err != nil {
 			return wqrefusal.From(err)
 		}
--- a/cmd/wisteriaquay/cmd_write.go
+++ b/cmd/wisteriaquay/cmd_write.go
@@ -39,7 +39,11 @@
 }
 
 func write(ctx context.Context, c console, o *writeOptions, text string) error {
-	client := wqpbconnect.NewQueryServiceClient(newHTTPClient(o.Timeout), o.Entry)
+	reach, err := o.client(o.Timeout)
+	if err != nil {
+		return err
+	}
+	client := wqpbconnect.NewQueryServiceClient(reach, o.Entry)
 	if o.Outcome {
 		r, err := client.Outcome(ctx, connect.NewRequest(&wqpb.OutcomeRequest{
 			Ticket: o.Ticket, TimeoutMillis: uint32(o.Timeout.Milliseconds()),
--- a/cmd/wisteriaquay/operator.go
+++ b/cmd/wisteriaquay/operator.go
@@ -21,7 +21,8 @@
 
 // operatorOptions say how to reach an entry VM as an operator.
 type operatorOptions struct {
-	Entry string `long:"entry" env:"WISTERIAQUAY_ENTRY" default:"http://127.0.0.1:7400" description:"URL of any entry VM or of the balancer"`
+	reachOptions
+
 	Token string `long:"operator-token" env:"WISTERIAQUAY_OPERATOR_TOKEN" description:"credential of operators" required:"true"`
 }
 
@@ -52,8 +53,12 @@
 	return nil
 }
 
-func (o *operatorOptions) client(timeout time.Duration) wqpbconnect.OperatorServiceClient {
-	return wqpbconnect.NewOperatorServiceClient(newHTTPClient(timeout), o.Entry)
+func (o *operatorOptions) operator(timeout time.Duration) (wqpbconnect.OperatorServiceClient, error) {
+	reach, err := o.client(timeout)
+	if err != nil {
+		return nil, err
+	}
+	return wqpbconnect.NewOperatorServiceClient(reach, o.Entry), nil
 }
 
 func (o *operatorOptions) authorize(h http.Header) { h.Set("Authorization", "Bearer "+o.Token) }
@@ -103,9 +108,13 @@
 }
 
 func (o *publishOptions) publishOnce(ctx context.Context, data []byte) (*wqpb.PublishResponse, error) {
+	client, err := o.operator(o.Wait + acceptTime)
+	if err != nil {
+		return nil, err
+	}
 	r := connect.NewRequest(&wqpb.PublishRequest{Note: data, WaitMillis: uint32(o.Wait.Milliseconds())})
 	o.authorize(r.Header())
-	m, err := o.client(o.Wait+acceptTime).Publish(ctx, r)
+	m, err := client.Publish(ctx, r)
 	if err != nil {
 		return nil, wqrefusal.From(err)
 	}
