Spare the store and peers while no VM has a configuration

Cause: 200 VMs that started at once called an empty store together and asked all peers over and over; on a slow machine the store's calls timed out and the first note could not be published. Change: the first call to the store waits for a turn drawn by chance, 10 ms for each known peer on the mean; peers that have nothing are not asked again; the peers to ask are chosen before they are sorted.

--- a/core/wqconfig/fetch.go
+++ b/core/wqconfig/fetch.go
@@ -46,12 +46,16 @@
 	return count
 }
 
-// useful reports whether a fetch from a peer could bring news.
+// useful reports whether a fetch from a peer could bring news, or the answer of
+// a witness that is still missing.
 func (m *Machine[P]) useful(p *peer) bool {
 	if p.fetching {
 		return false
 	}
-	return m.history == nil || p.Revision > m.history.Revision()
+	if m.history != nil {
+		return p.Revision > m.history.Revision()
+	}
+	return p.Revision > m.offered.Revision() || !p.answered && m.answers < m.Timing.Witnesses
 }
 
 // choose returns the peer to fetch from: the one with the highest revision, by
@@ -59,10 +63,7 @@
 func (m *Machine[P]) choose() *peer {
 	var best *peer
 	equals := 0
-	for _, p := range m.sorted() {
-		if !m.useful(p) || p.retryAt.After(m.now) {
-			continue
-		}
+	for _, p := range m.candidates() {
 		switch {
 		case best == nil || m.better(p, best):
 			best, equals = p, 1
@@ -85,10 +86,13 @@
 	return a.Revision > b.Revision
 }
 
-func (m *Machine[P]) sorted() []*peer {
-	list := make([]*peer, 0, len(m.peers))
+// candidates returns the peers that a fetch is due from, sorted by id.
+func (m *Machine[P]) candidates() []*peer {
+	var list []*peer
 	for _, p := range m.peers {
-		list = append(list, p)
+		if m.useful(p) && !p.retryAt.After(m.now) {
+			list = append(list, p)
+		}
 	}
 	slices.SortFunc(list, func(a, b *peer) int { return strings.Compare(a.ID, b.ID) })
 	return list
--- a/core/wqconfig/machine.go
+++ b/core/wqconfig/machine.go
@@ -48,6 +48,7 @@
 	proved   bool               // proved is true once the store proved offered to be its newest.
 	peers    map[string]*peer
 	highest  uint64 // highest is the highest revision that a live peer is known to have.
+	answers  int    // answers is how many peers answered while this VM had no configuration.
 	watching bool
 	store    storeState
 	outbox   []Action
@@ -218,22 +219,21 @@
 // confirmed reports whether enough peers told their revision, one of them at
 // least with a configuration.
 func (m *Machine[P]) confirmed() bool {
-	answers := 0
 	configured := false
 	for _, p := range m.peers {
-		if p.answered {
-			answers++
-			configured = configured || p.Revision > 0
-		}
+		configured = configured || p.answered && p.Revision > 0
 	}
-	return configured && answers >= min(m.Timing.Witnesses, len(m.peers))
+	return configured && m.answers >= min(m.Timing.Witnesses, len(m.peers))
 }
 
-// rank finds the highest revision among the peers.
+// rank counts the answers and finds the highest revision among the peers.
 func (m *Machine[P]) rank() {
-	m.highest = 0
+	m.highest, m.answers = 0, 0
 	for _, p := range m.peers {
 		m.highest = max(m.highest, p.Revision)
+		if p.answered {
+			m.answers++
+		}
 	}
 }
 
--- a/core/wqconfig/store.go
+++ b/core/wqconfig/store.go
@@ -12,6 +12,7 @@
 	proving   bool // proving is true while the call on its way proves its answer.
 	reading   bool // reading is true while the call on its way is no watch.
 	reachable bool
+	spread    bool // spread is true once the first call was put off by chance.
 	failures  int
 	nextAt    time.Time // nextAt is the earliest time of the next call.
 	readAt    time.Time // readAt is when a watcher reads the whole value again.
@@ -53,7 +54,27 @@
 func (m *Machine[P]) backoff() time.Duration {
 	m.store.failures++
 	doubled := m.Timing.Retry << min(m.store.failures-1, maxDoublings)
-	return m.jitter(min(doubled, m.Timing.MaxBackoff))
+	return m.jitter(min(doubled, m.Timing.MaxBackoff)) + m.turn()
+}
+
+// turn returns a time by chance, so that VMs that have no configuration do not
+// all call the store at once; the first one to get it tells the others.
+func (m *Machine[P]) turn() time.Duration {
+	if m.history != nil {
+		return 0
+	}
+	return time.Duration(m.Random.Int64N(int64(len(m.peers)+1) * int64(m.Timing.Spread)))
+}
+
+// putOff delays the first call to the store by its turn, and reports whether
+// the call has to wait.
+func (m *Machine[P]) putOff() bool {
+	if m.store.spread {
+		return false
+	}
+	m.store.spread = true
+	m.store.nextAt = m.now.Add(m.turn())
+	return m.store.nextAt.After(m.now)
 }
 
 // readPeriod returns the time between two reads of a value of this size.
@@ -69,6 +90,8 @@
 		return
 	}
 	switch {
+	case m.history == nil && m.putOff():
+		return
 	case m.history == nil:
 		s.proving, s.reading = true, true
 		m.outbox = append(m.outbox, ReadStore{Confirm: true})
--- a/core/wqconfig/timing.go
+++ b/core/wqconfig/timing.go
@@ -5,6 +5,7 @@
 // Timing holds the periods and bounds of a Machine.
 type Timing struct {
 	Patience   time.Duration // Patience is how long a VM that starts looks for peers before it asks the store.
+	Spread     time.Duration // Spread is the mean time between two calls to the store of a whole fleet that has no configuration.
 	Retry      time.Duration // Retry is the shortest time until a peer or the store is asked again.
 	MaxBackoff time.Duration // MaxBackoff is the longest time until a store that fails is asked again.
 	WatchWait  time.Duration // WatchWait is how long one watch waits; a watch that dies silently costs no more.
@@ -20,6 +21,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Patience:   300 * time.Millisecond,
+		Spread:     10 * time.Millisecond,
 		Retry:      200 * time.Millisecond,
 		MaxBackoff: 5 * time.Second,
 		WatchWait:  3 * time.Second,
