--- a/io/wqentry/class.go
+++ b/io/wqentry/class.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"wisteriaquay/core/wqbudget"
@@ -29,12 +28,12 @@
 	retry    *wqbudget.Budget
 }
 
-// classes holds the shared state of each rule and the newest whole snapshot of
-// each service.
+// classes holds the shared state of each rule and the last whole snapshot of each
+// service.
 type classes[H wqfanout.HedgePolicy] struct {
 	mutex  sync.RWMutex
 	byName map[className]*class[H]
-	whole  map[string]*atomic.Uint64
+	whole  map[string]uint64
 }
 
 // class returns the shared state of a rule; a rule whose hedging changed starts
@@ -59,35 +58,23 @@
 	return added
 }
 
-// snapshot returns the newest snapshot that an answer of this VM found whole.
+// snapshot returns the snapshot that the last whole answer of this VM settled.
 func (c *classes[H]) snapshot(service string) uint64 {
 	c.mutex.RLock()
 	defer c.mutex.RUnlock()
-	if found := c.whole[service]; found != nil {
-		return found.Load()
-	}
-	return 0
+	return c.whole[service]
 }
 
-// settled notes a snapshot that an answer found whole.
+// settled notes a snapshot that an answer found whole; 0 notes nothing. The last
+// one counts, so that a snapshot that is gone again is forgotten.
 func (c *classes[H]) settled(service string, snapshot uint64) {
-	c.mutex.RLock()
-	found := c.whole[service]
-	c.mutex.RUnlock()
-	if found == nil {
-		c.mutex.Lock()
-		if c.whole == nil {
-			c.whole = make(map[string]*atomic.Uint64)
-		}
-		if c.whole[service] == nil {
-			c.whole[service] = new(atomic.Uint64)
-		}
-		found = c.whole[service]
-		c.mutex.Unlock()
+	if snapshot == 0 || snapshot == c.snapshot(service) {
+		return
 	}
-	for old := found.Load(); old < snapshot; old = found.Load() {
-		if found.CompareAndSwap(old, snapshot) {
-			return
-		}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.whole == nil {
+		c.whole = make(map[string]uint64)
 	}
+	c.whole[service] = snapshot
 }
--- a/io/wqentry/entry.go
+++ b/io/wqentry/entry.go
@@ -79,8 +79,9 @@
 	}
 	began := time.Now()
 	query := e.query(r, rule, deadline)
-	answer, err := e.fan(ctx, r, query)
-	door.leave(outcome(time.Since(began), query.Half(), &answer))
+	var answer wqanswer.Answer
+	defer func() { door.leave(outcome(time.Since(began), query.Half(), &answer)) }()
+	answer, err = e.fan(ctx, r, query)
 	return answer, err
 }
 
--- a/io/wqentry/entry_test.go
+++ b/io/wqentry/entry_test.go
@@ -1,6 +1,7 @@
 package wqentry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"testing"
@@ -21,6 +22,8 @@
 type fakeHolder struct {
 	hang func(s *wqpb.SubQuery) bool
 	part int // part is how many results travel together; 0 is one.
+
+	newest uint64 // newest is the newest snapshot held; 0 is 7.
 }
 
 func (f *fakeHolder) Fan(ctx context.Context, r *wqpb.FanRequest, send func(*wqpb.FanPart) error) error {
@@ -31,10 +34,7 @@
 			hung = true
 			continue
 		}
-		p.Results = append(p.Results, &wqpb.SubResult{
-			Shard: s.GetShard(), Searcher: s.GetSearcher(), Status: wqpb.SubStatus_SUB_STATUS_ANSWERED,
-			Snapshot: r.GetSnapshot(), Oldest: 1, Newest: 7, Matched: 1, Sent: 1,
-		})
+		p.Results = append(p.Results, f.result(r, s))
 		p.Rows = append(p.Rows, &wqpb.Row{Shard: s.GetShard(), Key: s.GetShard()})
 		if len(p.Results) < f.part {
 			continue
@@ -53,6 +53,17 @@
 	return ctx.Err()
 }
 
+func (f *fakeHolder) result(r *wqpb.FanRequest, s *wqpb.SubQuery) *wqpb.SubResult {
+	answer := &wqpb.SubResult{
+		Shard: s.GetShard(), Searcher: s.GetSearcher(), Status: wqpb.SubStatus_SUB_STATUS_ANSWERED,
+		Snapshot: r.GetSnapshot(), Oldest: 1, Newest: cmp.Or(f.newest, 7), Matched: 1, Sent: 1,
+	}
+	if r.GetSnapshot() > answer.Newest {
+		answer.Status = wqpb.SubStatus_SUB_STATUS_SNAPSHOT_GONE
+	}
+	return answer
+}
+
 func newTestView(shards int) *wqview.View {
 	t := &wqtopology.Topology{
 		Revision: 1,
@@ -169,3 +180,19 @@
 		must.NoError(t, <-errs)
 	}
 }
+
+// The searchers drop a snapshot that earlier answers had settled on: the next
+// query moves, and the one after starts at the right one.
+func TestSettledSnapshotIsForgottenWhenItIsGone(t *testing.T) {
+	v := newTestView(4)
+	e := newTestEntry(v, &fakeHolder{newest: 8})
+	e.classes.settled("bench", 9)
+	a, err := e.Query(context.Background(), request())
+	must.NoError(t, err)
+	must.Eq(t, uint64(8), a.Snapshot)
+	must.Eq(t, 4, a.ShardsAnswered)
+	must.Greater(t, 4, a.SubQueriesSent)
+	a, err = e.Query(context.Background(), request())
+	must.NoError(t, err)
+	must.Eq(t, 4, a.SubQueriesSent)
+}
