--- a/core/wqfanout/query_test.go
+++ b/core/wqfanout/query_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"wisteriaquay/core/wqanswer"
+	"wisteriaquay/core/wqbudget"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/core/wqview"
@@ -250,3 +251,26 @@
 	must.Eq(t, 0, len(a.Rows))
 	must.Eq(t, 2, len(a.Missing))
 }
+
+// Every target refuses for load: repeats stay within a tenth.
+func TestRefusalsCauseNoStorm(t *testing.T) {
+	v := newView(layout(1, "a", "b", "c", "d"))
+	v.Snapshots["bench"] = 5
+	retry := &wqbudget.Budget{Share: 0.1, Burst: 10}
+	sent, needed := 0, 0
+	for range 200 {
+		q := newQuery(0)
+		q.Retry = retry
+		refuse := func(b Batch, s Sub) *Part { return refusal(b, s, wqreport.Shed, 0, 0) }
+		step := serve(q, v, q.Start(epoch, v), refuse)
+		for !step.Done {
+			step = serve(q, v, q.Wake(q.Next(), v), refuse)
+		}
+		a := seal(t, q, v)
+		must.Eq(t, wqanswer.Shed, a.Missing[0].Reason)
+		sent += a.SubQueriesSent
+		needed += a.ShardsTotal
+	}
+	must.Eq(t, 800, needed)
+	must.LessEq(t, 880, sent)
+}
