--- a/core/wqmember/gossip.go
+++ b/core/wqmember/gossip.go
@@ -17,6 +17,7 @@
 
 const (
 	floodFactor = 4 // floodFactor is how many times more changes a flood carries.
+	knownCost   = 3 // knownCost is by how many messages a rumour's life is shortened when a peer tells it back.
 	maxIdle     = 2 // maxIdle is the most idle rumours in one message.
 )
 
@@ -32,6 +33,18 @@
 	m.urgent = m.urgent || r.urgent
 }
 
+// wane shortens the life of a rumour that a peer already knows.
+func (m *Machine) wane(id string) {
+	r := m.rumours[id]
+	if r == nil {
+		return
+	}
+	r.left -= knownCost
+	if r.left <= 0 {
+		delete(m.rumours, id)
+	}
+}
+
 // flood sends urgent news to all neighbours at once, at a bounded rate. A VM
 // that joins or is cut off leaves that to the others: its neighbours change
 // with each VM that it learns of.
--- a/core/wqmember/merge.go
+++ b/core/wqmember/merge.go
@@ -40,6 +40,10 @@
 		p.Revision = c.Revision
 		m.version++
 		m.spread(p.ID, rumour{idle: true})
+		return
+	}
+	if !direct && c.State == p.State && c.Incarnation == p.Incarnation && c.Revision == p.Revision {
+		m.wane(p.ID)
 	}
 }
 
