--- a/cmd/wisteriaquay/serve.go
+++ b/cmd/wisteriaquay/serve.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"wisteriaquay/io/wqlog"
 	"wisteriaquay/io/wqnode"
@@ -13,6 +16,9 @@
 func serve(ctx context.Context, c console, s *wqsetting.Settings) error {
 	log := wqlog.New(c.Err, s.Identity.ID, s.Limits.LogPerSecond)
 	slog.SetDefault(log)
-	n := &wqnode.Node{Settings: s, Log: log}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	n := &wqnode.Node{Settings: s, Log: log, Hangups: hangups}
 	return n.Run(ctx)
 }
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -15,6 +15,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,16 +25,13 @@
 	"wisteriaquay/core/wqcandidate"
 	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqcontrol"
-	"wisteriaquay/core/wqhedge"
 	"wisteriaquay/core/wqlimit"
 	"wisteriaquay/core/wqmember"
-	"wisteriaquay/core/wqreplica"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqview"
 	"wisteriaquay/io/wqcaller"
 	"wisteriaquay/io/wqdial"
 	"wisteriaquay/io/wqdispatch"
-	"wisteriaquay/io/wqentry"
 	"wisteriaquay/io/wqfollow"
 	"wisteriaquay/io/wqhead"
 	"wisteriaquay/io/wqholder"
@@ -61,6 +59,7 @@
 type Node struct {
 	Settings *wqsetting.Settings
 	Log      *slog.Logger
+	Hangups  <-chan os.Signal // Hangups makes the VM read its keys again; nil for never.
 
 	view       atomic.Pointer[wqview.View]
 	requests   atomic.Int64 // requests are callers' calls in progress.
@@ -83,7 +82,7 @@
 	holder   *wqholder.Holder[*wqtarget.Client, *wqlimit.AIMD]
 	gate     *wqdispatch.Gate
 	writer   *wqwrite.Writer[wqcandidate.NearFirst]
-	entry    *wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]
+	entry    answerer
 }
 
 // Run starts the VM and returns when it has stopped.
@@ -145,7 +144,7 @@
 	n.follower = &wqfollow.Follower[*wqstore.Client, *wqdial.Pool]{Head: n.head, Peers: pool, FetchTimeout: fetchTimeout, Log: n.Log}
 	releaseHolder := n.buildHolder()
 	n.buildWriter(self)
-	n.buildEntry()
+	n.entry = n.newEntry()
 	return func() {
 		releaseHolder()
 		releasePool()
@@ -176,16 +175,6 @@
 	return release
 }
 
-func (n *Node) buildEntry() {
-	n.entry = &wqentry.Entry[wqreplica.Least, *wqhedge.Quantile]{
-		View:    n.view.Load,
-		Local:   localFanner{n.holder},
-		Remote:  n.remote,
-		Replica: wqreplica.Least{Stats: wqreplica.NewStats()},
-		Hedge:   wqentry.Quantile,
-	}
-}
-
 // listen opens the three listeners.
 func (n *Node) listen(ctx context.Context) ([]*listener, error) {
 	addresses := &n.Settings.Listeners
@@ -260,5 +249,5 @@
 		n.letGo()
 	}
 	run(n.readList)
-	run(func(ctx context.Context) { n.keys.Run(ctx, nil) })
+	run(func(ctx context.Context) { n.keys.Run(ctx, n.Hangups) })
 }
--- a/io/wqnode/queries.go
+++ b/io/wqnode/queries.go
@@ -5,9 +5,36 @@
 
 	"wisteriaquay/core/wqanswer"
 	"wisteriaquay/core/wqcontrol"
+	"wisteriaquay/core/wqfanout"
+	"wisteriaquay/core/wqreplica"
+	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqentry"
+	"wisteriaquay/io/wqsetting"
 )
 
+// answerer answers queries by one choice of policies.
+type answerer interface {
+	Query(ctx context.Context, r *wqentry.Request) (wqanswer.Answer, error)
+}
+
+// newEntry returns this VM's answerer under the policies of its settings.
+func (n *Node) newEntry() answerer {
+	if n.Settings.Limits.Policy == wqsetting.PlainPolicy {
+		return entryOf(n, wqreplica.Random{}, wqentry.Never)
+	}
+	return entryOf(n, wqreplica.Least{Stats: wqreplica.NewStats()}, wqentry.Quantile)
+}
+
+func entryOf[R wqfanout.ReplicaPolicy, H wqfanout.HedgePolicy](n *Node, replica R, hedge func(*wqtopology.Rule) H) *wqentry.Entry[R, H] {
+	return &wqentry.Entry[R, H]{
+		View:    n.view.Load,
+		Local:   localFanner{n.holder},
+		Remote:  n.remote,
+		Replica: replica,
+		Hedge:   hedge,
+	}
+}
+
 // queries answers queries and tells the control loop of newer snapshots.
 type queries struct {
 	node *Node
--- a/io/wqsetting/settings.go
+++ b/io/wqsetting/settings.go
@@ -56,6 +56,9 @@
 	PlainText         bool   `long:"plain-text" env:"WISTERIAQUAY_PLAIN_TEXT" description:"serve callers and peers without TLS; for a loopback trial only"`
 }
 
+// PlainPolicy is the setting of the policy without adaptive choice and hedges.
+const PlainPolicy = "plain"
+
 // Limits bound what this VM does.
 type Limits struct {
 	MaxHolders   int           `long:"max-holders" env:"WISTERIAQUAY_MAX_HOLDERS" default:"3" description:"most VMs that connect to one searcher, 1 to 16; equal on all VMs"`
@@ -63,5 +66,6 @@
 	BalancerLag  time.Duration `long:"balancer-lag" env:"WISTERIAQUAY_BALANCER_LAG" default:"2s" description:"how long the balancer may still send callers here after /readyz fails"`
 	StopLimit    time.Duration `long:"stop-limit" env:"WISTERIAQUAY_STOP_LIMIT" default:"45s" description:"longest time from the stop signal to the exit"`
 	TicketLife   time.Duration `long:"ticket-life" env:"WISTERIAQUAY_TICKET_LIFE" default:"30s" description:"how long the ticket of a write-like request may be used"`
+	Policy       string        `long:"policy" env:"WISTERIAQUAY_POLICY" default:"adaptive" choice:"adaptive" choice:"plain" description:"how replicas are chosen: adaptive with hedges, or plain (random, no hedges) as a baseline for experiments"`
 	LogPerSecond int           `long:"log-per-second" env:"WISTERIAQUAY_LOG_PER_SECOND" default:"5" description:"most log lines a second below the level of error"`
 }
