Keep the slot of a request that a cold searcher may still run

Cause: a holder gave the slot of a cancelled request (a hedge's loser, a query past its time) back at once, and the next request reached the searcher before it noticed: a searcher that bears one request in cold start fell over. Change: while a searcher is cold, the slot of a request that was sent and given up rests for 100 ms, as that of a closed connection does. Answers go out before. Conclusion: a searcher that takes longer than 100 ms to notice a cancellation can still fall over.

--- a/io/wqholder/lane.go
+++ b/io/wqholder/lane.go
@@ -11,6 +11,10 @@
 	"wisteriaquay/core/wqview"
 )
 
+// cancelLag is how long a searcher may take to notice that a request was given
+// up.
+const cancelLag = 100 * time.Millisecond
+
 // reportEvery spaces the reports of a searcher that bring no news.
 const reportEvery = 250 * time.Millisecond
 
@@ -99,6 +103,20 @@
 	return l.next(now)
 }
 
+// linger keeps the slot of a request that was given up until the searcher has
+// noticed, since one in cold start falls over under another request meanwhile.
+func (l *lane[P]) linger(e ending) {
+	if e.status == wqreport.Expired && e.sent && l.cold() {
+		time.Sleep(cancelLag)
+	}
+}
+
+func (l *lane[P]) cold() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.Cold()
+}
+
 // cancel gives an unused slot back and returns what to send and refuse now.
 func (l *lane[P]) cancel(now time.Time) (send, refuse []*task) {
 	l.mu.Lock()
--- a/io/wqholder/search.go
+++ b/io/wqholder/search.go
@@ -21,6 +21,8 @@
 	if err != nil {
 		e = endingOf(err)
 	}
+	deliver(tasks, &reply, e)
+	l.linger(e)
 	send, refuse = l.done(ended, wqlane.Outcome{
 		Started:     started,
 		Status:      e.status,
@@ -38,7 +40,6 @@
 		Oldest:      reply.Oldest,
 		Newest:      reply.Newest,
 	})
-	deliver(tasks, &reply, e)
 	return send, refuse
 }
 
--- a/io/wqholder/write.go
+++ b/io/wqholder/write.go
@@ -56,6 +56,8 @@
 	if err != nil {
 		e = endingOf(err)
 	}
+	t.write.finish(writeResponse(r, reply, err))
+	l.linger(e)
 	send, refuse = l.done(ended, wqlane.Outcome{
 		Started:     started,
 		Status:      e.status,
@@ -71,7 +73,6 @@
 		Incarnation: reply.Incarnation,
 		Cold:        reply.Cold,
 	})
-	t.write.finish(writeResponse(r, reply, err))
 	return send, refuse
 }
 
--- a/test/wqsearcher/cold_test.go
+++ b/test/wqsearcher/cold_test.go
@@ -250,3 +250,19 @@
 	}
 	must.True(t, answered(), must.Sprint("a cancelled request does not make the holder refuse"))
 }
+
+// Requests are given up while a searcher is cold, which it notices a moment
+// later.
+func TestCancelledRequestsSpareColdSearchers(t *testing.T) {
+	f := coldFleet(t, 1)
+	holders := f.startHolders(t)
+	run(t, holders)
+	for began := time.Now(); time.Since(began) < 250*time.Millisecond; {
+		for _, h := range holders {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Millisecond)
+			_ = h.FanTo(ctx, f.request("q-1", time.Second), func(*wqpb.FanPart) error { return nil })
+			cancel()
+		}
+	}
+	f.mustSpare(t, 1)
+}
