Let VMs of a new fleet wait once they were cut off

Cause: VMs of a fleet younger than the handover time used their shares at once, also after they had been cut off. Change: the rule for new fleets ends with the first use of a share. A VM that was cut off after that waits for the handover time, as it does in an older fleet.

--- a/core/wqhold/table.go
+++ b/core/wqhold/table.go
@@ -23,6 +23,7 @@
 	holders    map[string][]wqview.Holder
 	wakeAt     time.Time // wakeAt is when the holders change by time alone.
 	isolated   bool
+	used       bool            // used is true once this VM might use its shares.
 	stale      bool            // stale is true when all holders must be computed anew.
 	staleZones map[string]bool // staleZones are the zones whose searchers must be computed anew.
 }
@@ -72,18 +73,21 @@
 }
 
 // updateReady makes a VM that starts or was cut off wait for the handover time,
-// since others may still use what it is about to use.
+// since others may still use what it is about to use. In a new fleet nobody
+// does, but a VM that was cut off after it was at work may have missed a change.
 func (t *Table) updateReady(now time.Time, in Input) {
 	ended := t.isolated && !in.Isolated
 	t.isolated = in.Isolated
 	if in.Isolated || ended {
 		t.readyAt = now.Add(t.Handover)
 	}
-	if in.NewFleet && !in.Isolated && now.Before(t.readyAt) {
+	if in.NewFleet && !in.Isolated && !t.used && now.Before(t.readyAt) {
 		t.readyAt = now
 		t.stale = true
 	}
 	t.stale = t.stale || ended
+	ready := !in.Isolated && !now.Before(t.readyAt)
+	t.used = t.used || ready && in.Index.Topology.Revision > 0
 }
 
 // updateIndex takes over a new topology and makes changed searchers wait.
--- a/core/wqhold/table_test.go
+++ b/core/wqhold/table_test.go
@@ -156,6 +156,19 @@
 	must.Eq(t, []string{"vm-1"}, ids(table.Update(now, in)["s0"]))
 }
 
+func TestNewFleetWaitsOnceItWasCutOff(t *testing.T) {
+	members := vms(1)
+	in := wqhold.Input{Self: members[0], Members: members, Index: index(1), NewFleet: true}
+	table := &wqhold.Table{Limits: wqhold.Limits{MaxHolders: 3}, Handover: handover}
+	ready := func(now time.Time) time.Time { return table.Update(now, in)["s0"][0].From }
+	must.Eq(t, start, ready(start), must.Sprint("nobody was here before"))
+	in.Isolated = true
+	ready(start.Add(time.Second))
+	in.Isolated = false
+	back := start.Add(2 * time.Second)
+	must.Eq(t, back.Add(handover), ready(back), must.Sprint("a zone may have been taken out meanwhile"))
+}
+
 func TestUsable(t *testing.T) {
 	v := &wqview.View{FreshAt: start}
 	must.True(t, wqhold.Usable(v, wqview.Holder{}, start.Add(wqhold.FreshFor-1)))
