Bound what the listeners read; publish the view before a heartbeat's reply

Cause: the messages of callers, operators and peers had no bound before they were read whole; a peer could read a reply of a state that traffic did not see yet.

--- a/io/wqnode/control.go
+++ b/io/wqnode/control.go
@@ -26,6 +26,7 @@
 	out := n.control.Handle(now, m.event)
 	n.deliver(out.Sends)
 	if m.reply != nil {
+		n.view.Store(n.control.View(now)) // What the reply says is in force before the peer reads it.
 		m.reply <- out.Reply
 	}
 }
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -35,6 +35,7 @@
 	"wisteriaquay/io/wqdispatch"
 	"wisteriaquay/io/wqfollow"
 	"wisteriaquay/io/wqhead"
+	"wisteriaquay/io/wqheartbeat"
 	"wisteriaquay/io/wqholder"
 	"wisteriaquay/io/wqkeys"
 	"wisteriaquay/io/wqloop"
@@ -54,6 +55,9 @@
 	inboxSize       = 4096        // inboxSize bounds the events that wait for the control loop.
 	watchersPerZone = 2           // watchersPerZone is how many VMs of an availability zone watch the store.
 	compressFrom    = 32 << 10    // compressFrom is the least size of an answer to callers that is compressed, in bytes.
+	maxRequestBytes = 128 << 10   // maxRequestBytes bounds a caller's message, in bytes; its body is bounded to half of that.
+	maxNoteBytes    = 2 << 20     // maxNoteBytes bounds an operator's message, in bytes.
+	maxFanBytes     = 4 << 20     // maxFanBytes bounds a peer's fan, in bytes.
 	fetchTimeout    = time.Second // fetchTimeout bounds a peer's answer with its configuration.
 )
 
@@ -217,16 +221,17 @@
 		Submit:         n.submit,
 		Check:          n.keys.CheckOperator,
 		StoreReachable: func() bool { return n.view.Load().StoreReachable },
-	}))
+	}, connect.WithReadMaxBytes(maxNoteBytes)))
 	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: queries{n}, Writes: n.writer, Metrics: n.metrics},
-		connect.WithCompressMinBytes(compressFrom)))
+		connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(compressFrom)))
 	return wqstop.LastAnswers(counted(&n.requests, mux), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
 }
 
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(wqpbconnect.NewShardServiceHandler(n.holder))
-	mux.Handle(wqpb.PeerServicePathPrefix, wqpb.NewPeerServiceServer(&peerService{node: n}))
+	mux.Handle(wqpbconnect.NewShardServiceHandler(n.holder, connect.WithReadMaxBytes(maxFanBytes)))
+	unary := wqpb.NewPeerServiceServer(&peerService{node: n})
+	mux.Handle(wqpb.PeerServicePathPrefix, http.MaxBytesHandler(unary, wqheartbeat.MaxBytes))
 	return counted(&n.sends, mux)
 }
 
