Bound what the callers' listener reads of an oversized message

Cause: connect reads on past its own bound to keep the connection; the test before did not notice, since the body was refused as malformed anyway. Change: the listener's bodies end at 2 MiB.

--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -224,7 +224,8 @@
 	}, connect.WithReadMaxBytes(maxNoteBytes)))
 	mux.Handle(wqpbconnect.NewQueryServiceHandler(&wqcaller.Handler{Queries: queries{n}, Writes: n.writer, Metrics: n.metrics},
 		connect.WithReadMaxBytes(maxRequestBytes), connect.WithCompressMinBytes(compressFrom)))
-	return wqstop.LastAnswers(counted(&n.requests, mux), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
+	bounded := http.MaxBytesHandler(mux, maxNoteBytes) // connect reads on past its own bound, to keep the connection.
+	return wqstop.LastAnswers(counted(&n.requests, bounded), func() bool { return n.view.Load().Self.State >= wqmember.Leaving })
 }
 
 func (n *Node) peerHandler() http.Handler {
