--- a/io/wqholder/search.go
+++ b/io/wqholder/search.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"wisteriaquay/core/wqlane"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqtarget"
@@ -22,25 +21,14 @@
 		e = endingOf(err)
 	}
 	deliver(tasks, &reply, e)
-	l.linger(e)
-	send, refuse = l.done(ended, wqlane.Outcome{
-		Started:     started,
-		Status:      e.status,
-		Replied:     e.replied,
-		Incarnation: reply.Incarnation,
-		Cold:        reply.Cold,
-	})
-	h.report(l, e, wqreport.Target{
+	return h.settle(l, e, started, wqreport.Target{
 		SearcherID:  s.ID,
 		At:          ended,
-		Status:      e.status,
-		Latency:     ended.Sub(started),
 		Incarnation: reply.Incarnation,
 		Cold:        reply.Cold,
 		Oldest:      reply.Oldest,
 		Newest:      reply.Newest,
 	})
-	return send, refuse
 }
 
 // ending is how a request ended.
--- a/io/wqholder/write.go
+++ b/io/wqholder/write.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"wisteriaquay/core/wqlane"
 	"wisteriaquay/core/wqreport"
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqpb"
@@ -57,23 +56,7 @@
 		e = endingOf(err)
 	}
 	t.write.finish(writeResponse(r, reply, err))
-	l.linger(e)
-	send, refuse = l.done(ended, wqlane.Outcome{
-		Started:     started,
-		Status:      e.status,
-		Replied:     e.replied,
-		Incarnation: reply.Incarnation,
-		Cold:        reply.Cold,
-	})
-	h.report(l, e, wqreport.Target{
-		SearcherID:  s.ID,
-		At:          ended,
-		Status:      e.status,
-		Latency:     ended.Sub(started),
-		Incarnation: reply.Incarnation,
-		Cold:        reply.Cold,
-	})
-	return send, refuse
+	return h.settle(l, e, started, wqreport.Target{SearcherID: s.ID, At: ended, Incarnation: reply.Incarnation, Cold: reply.Cold})
 }
 
 func writeResponse(r *wqpb.DispatchWriteRequest, reply wqtarget.WriteReply, err error) *wqpb.WriteResponse {
