Ask before the first byte whether a searcher may be sent anything

Cause: the holder checks zone, share and freshness before it hands a request to the client. Change: the connection asks the holder again right before the first byte of a request; otherwise nothing is written, which is proof that nothing ran. A test shows that nothing is written. Conclusion: what remains is a pause between this check and the system call.

--- a/io/wqholder/dispatch.go
+++ b/io/wqholder/dispatch.go
@@ -53,6 +53,12 @@
 	return wqreport.Answered
 }
 
+// Usable reports whether a searcher may be sent anything now.
+func (h *Holder[C, P]) Usable(searcherID string) bool {
+	status := h.check(h.View(), searcherID, time.Now())
+	return status == wqreport.Answered || status == wqreport.Draining
+}
+
 // proceed starts a request and ends the refused tasks.
 func (h *Holder[C, P]) proceed(l *lane[P], send, refuse []*task) {
 	refuseAll(refuse, wqreport.NotRun)
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -170,6 +170,7 @@
 	client, releaseClient := wqtarget.New()
 	holder, releaseHolder := wqholder.New(client, func() *wqlimit.AIMD { return &wqlimit.AIMD{} })
 	client.Lost = holder.Suspect
+	client.Usable = holder.Usable
 	holder.View = n.view.Load
 	holder.Report = func(r wqreport.Target) { n.loop.Offer(message{event: wqcontrol.TargetSeen{Report: r}}) }
 	n.holder = holder
--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -47,11 +47,12 @@
 // Client sends requests to searchers. Set the exported fields before the first
 // request; all methods are safe for concurrent use.
 type Client struct {
-	ConnectTimeout time.Duration           // ConnectTimeout bounds the making of a connection.
-	ReplyBytes     int64                   // ReplyBytes bounds the body of a reply, in bytes.
-	LateReply      time.Duration           // LateReply is how much longer than its time the reply to a write-like request is waited for.
-	StaleAfter     time.Duration           // StaleAfter is how long a connection is unused before its end means nothing, while others are open.
-	Lost           func(searcherID string) // Lost is called when a searcher closes an idle connection, and when the last one closes: it may have restarted.
+	ConnectTimeout time.Duration                // ConnectTimeout bounds the making of a connection.
+	ReplyBytes     int64                        // ReplyBytes bounds the body of a reply, in bytes.
+	LateReply      time.Duration                // LateReply is how much longer than its time the reply to a write-like request is waited for.
+	StaleAfter     time.Duration                // StaleAfter is how long a connection is unused before its end means nothing, while others are open.
+	Usable         func(searcherID string) bool // Usable reports whether a searcher may be sent anything; it is asked right before the first byte of a request.
+	Lost           func(searcherID string)      // Lost is called when a searcher closes an idle connection, and when the last one closes: it may have restarted.
 
 	mu    sync.RWMutex
 	links map[string]*link
@@ -64,6 +65,7 @@
 		ReplyBytes:     defaultReplyBytes,
 		LateReply:      defaultLateReply,
 		StaleAfter:     defaultStaleAfter,
+		Usable:         func(string) bool { return true },
 		Lost:           func(string) {},
 		links:          make(map[string]*link),
 	}
--- a/io/wqtarget/client_test.go
+++ b/io/wqtarget/client_test.go
@@ -67,6 +67,21 @@
 	must.EqOp(t, wqfault.Unavailable, wqfault.KindOf(err))
 }
 
+// The zone is taken out between the holder's check and the first byte.
+func TestNothingIsWrittenOnceTheSearcherIsNotUsable(t *testing.T) {
+	var requests atomic.Int32
+	s := serve(t, func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+	c := newClient(t)
+	c.Usable = func(string) bool { return false }
+	_, err := c.Write(soon(t), s, wqtarget.Write{RequestID: "t-1"})
+	f := wqtarget.FailureOf(err)
+	must.EqOp(t, wqreport.NotRun, f.Status)
+	must.True(t, f.NotRun())
+	_, err = c.Search(soon(t), s, []wqtarget.Query{query("q-1")})
+	must.EqOp(t, wqreport.NotRun, wqtarget.FailureOf(err).Status)
+	must.EqOp(t, 0, requests.Load())
+}
+
 // A searcher that breaks connections at random points may have run every
 // write-like request of which it got a byte.
 func TestNotRunIsProved(t *testing.T) {
--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -26,6 +26,7 @@
 	used   atomic.Int64 // used is when the last request ended, in nanoseconds since 1970.
 	failed atomic.Bool  // failed is true once a read failed.
 	closed atomic.Bool
+	barred atomic.Bool // barred is true once a request was not written since the searcher may be sent nothing.
 	// dropped is true once this client closed it after a request that failed;
 	// the transport may still have it among the idle ones.
 	dropped atomic.Bool
@@ -61,9 +62,16 @@
 	return c.state.Load() != number|phaseSealed
 }
 
-// Write passes b on unless the request is sealed.
+// Write passes b on unless the request is sealed. Whether the searcher may be
+// sent anything is asked here again, since the process may have been paused on
+// the way.
 func (c *connection) Write(b []byte) (int, error) {
 	state := c.state.Load()
+	if state&phaseMask == phaseFresh && !c.link.usable() {
+		c.barred.Store(true)
+		c.seal(state &^ phaseMask)
+		return 0, net.ErrClosed
+	}
 	first := state&phaseMask == phaseFresh && c.state.CompareAndSwap(state, state&^phaseMask|phaseWriting)
 	if !first && c.state.Load()&phaseMask != phaseWriting {
 		return 0, net.ErrClosed
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -167,7 +167,7 @@
 	switch {
 	case ctx.Err() != nil:
 		status = wqreport.Expired
-	case errors.Is(cause, errNoConnection):
+	case errors.Is(cause, errNoConnection), !sent && x.conn != nil && x.conn.barred.Load():
 		status = wqreport.NotRun
 	case sent:
 		status = wqreport.Broken
--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -21,6 +21,7 @@
 	dialer     net.Dialer
 	staleAfter time.Duration
 	lost       func()
+	usable     func() bool
 
 	mu    sync.Mutex
 	limit int
@@ -38,6 +39,7 @@
 		dialer:     net.Dialer{Timeout: c.ConnectTimeout},
 		staleAfter: c.StaleAfter,
 		lost:       func() { c.Lost(id) },
+		usable:     func() bool { return c.Usable(id) },
 		limit:      max(s.Connections, 1),
 		freed:      make(chan struct{}),
 	}
