Recover sooner from quick kills; wait longer for connections to close

Cause: dead VMs count against the majority until the VM list has dropped them for 2 min: five of five VMs killed 2 s apart and replaced were back 112 s after the last kill. And a searcher saw one connection over its limit in a rolling replacement (2 of 5 runs), as VMs gave a share on 100 to 200 ms after closing, before the searcher had noticed on a busy machine (inferred, not traced). Change: --vm-list-lag, 30 s by default, 10 s in the test fleets, whose list drops VMs at once; shares pass on 250 ms after a close, and a stopping VM waits 500 ms.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # The race detector is on; seeds are fixed; no test asserts a wall-clock time
 # that the machine alone decides.
 test:
-	$(GO) test -race -count=1 -timeout 20m -skip '^($(KNOWN_RED))$$' $(MODULES)
+	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(MODULES)
 
 lint: $(LINT)
 	@for m in core io cmd test; do (cd $$m && ../$(LINT) run ./...) || exit 1; done
--- a/core/wqmember/timing.go
+++ b/core/wqmember/timing.go
@@ -45,7 +45,7 @@
 		Isolation:    3 * time.Second,
 		Frozen:       3 * time.Second,
 		Handover:     10 * time.Second,
-		ListLag:      2 * time.Minute,
+		ListLag:      30 * time.Second,
 		Settle:       2 * time.Second,
 		Patience:     30 * time.Second,
 		Helpers:      3,
--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -128,6 +128,7 @@
 	n.metrics = wqmetric.New()
 	n.timing = wqmember.DefaultTiming()
 	n.timing.Period = n.Settings.Limits.Heartbeat
+	n.timing.ListLag = n.Settings.Platform.VMListLag
 	n.control = wqcontrol.New(wqcontrol.Settings{
 		Self:       self,
 		MaxHolders: n.Settings.Limits.MaxHolders,
--- a/io/wqnode/stop.go
+++ b/io/wqnode/stop.go
@@ -18,7 +18,7 @@
 const stopReserve = time.Second
 
 // closeLag is how long a searcher may take to notice that a connection closed.
-const closeLag = 200 * time.Millisecond
+const closeLag = 500 * time.Millisecond
 
 // stop ends the VM gracefully, see wqdrain.
 func (n *Node) stop(ctx context.Context, listeners []*listener) error {
--- a/io/wqsetting/settings.go
+++ b/io/wqsetting/settings.go
@@ -41,6 +41,7 @@
 	StoreTimeout  time.Duration `long:"store-timeout" env:"WISTERIAQUAY_STORE_TIMEOUT" default:"2s" description:"longest wait for one call to the store"`
 	VMList        string        `long:"vm-list" env:"WISTERIAQUAY_VM_LIST" description:"URL of the VM list"`
 	VMListPeriod  time.Duration `long:"vm-list-period" env:"WISTERIAQUAY_VM_LIST_PERIOD" default:"10s" description:"time between two reads of the VM list"`
+	VMListLag     time.Duration `long:"vm-list-lag" env:"WISTERIAQUAY_VM_LIST_LAG" default:"30s" description:"how long the VM list may take to show or drop a VM; dead VMs that it has not shown so long count no more"`
 	VMListTimeout time.Duration `long:"vm-list-timeout" env:"WISTERIAQUAY_VM_LIST_TIMEOUT" default:"2s" description:"longest wait for one read of the VM list"`
 }
 
--- a/io/wqsetting/validate.go
+++ b/io/wqsetting/validate.go
@@ -79,6 +79,7 @@
 	checkPeriod(f, "store-timeout", p.StoreTimeout)
 	checkPeriod(f, "vm-list-period", p.VMListPeriod)
 	checkPeriod(f, "vm-list-timeout", p.VMListTimeout)
+	checkPeriod(f, "vm-list-lag", p.VMListLag)
 }
 
 func (k *Keys) check(f *faults) {
--- a/io/wqtarget/link.go
+++ b/io/wqtarget/link.go
@@ -12,7 +12,7 @@
 )
 
 // closeLag is how long a searcher may take to notice that a connection closed.
-const closeLag = 100 * time.Millisecond
+const closeLag = 250 * time.Millisecond
 
 // link owns the connections to one searcher.
 type link struct {
--- a/test/wqprocess/vm.go
+++ b/test/wqprocess/vm.go
@@ -99,7 +99,7 @@
 	vm.cmd = exec.CommandContext(context.Background(), f.program, "serve", "--plain-text", "--operator-token="+Token,
 		"--id="+vm.ID, "--zone="+vm.Zone, "--region=r1",
 		"--caller-listen="+vm.Caller, "--peer-listen="+peer, "--peer-address="+vm.Wire.Address(), "--admin-listen="+vm.Admin,
-		"--store=http://"+f.StoreWire.Address(), "--store-timeout=500ms", "--vm-list="+f.listURL, "--vm-list-period=200ms",
+		"--store=http://"+f.StoreWire.Address(), "--store-timeout=500ms", "--vm-list="+f.listURL, "--vm-list-period=200ms", "--vm-list-lag=10s",
 		"--balancer-lag="+f.Options.BalancerLag.String(), "--ticket-life="+f.Options.TicketLife.String(),
 		"--stop-limit="+f.Options.StopLimit.String())
 	vm.cmd.Stdout, vm.cmd.Stderr = log, log
