--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -56,7 +56,7 @@
 	watchersPerZone = 2           // watchersPerZone is how many VMs of an availability zone watch the store.
 	compressFrom    = 32 << 10    // compressFrom is the least size of an answer to callers that is compressed, in bytes.
 	maxRequestBytes = 128 << 10   // maxRequestBytes bounds a caller's message, in bytes; its body is bounded to half of that.
-	maxNoteBytes    = 2 << 20     // maxNoteBytes bounds an operator's message, in bytes.
+	maxNoteBytes    = 6 << 20     // maxNoteBytes bounds an operator's message, in bytes: a note of 4 MiB in base64.
 	maxFanBytes     = 4 << 20     // maxFanBytes bounds a peer's fan, in bytes.
 	fetchTimeout    = time.Second // fetchTimeout bounds a peer's answer with its configuration.
 )
