Check lost calls of write-like requests by what can be found out

Change: once calls are lost no more, the outcome of every ticket is asked for and must be what the searchers' record says, done or not run; this was not checked before.

--- a/io/wqwrite/writer_test.go
+++ b/io/wqwrite/writer_test.go
@@ -245,8 +245,10 @@
 	outcomes := map[wqpb.Outcome]int{}
 	var group sync.WaitGroup
 	var mu sync.Mutex
+	var tickets []string
 	for i := range 200 {
 		ticket := f.ticket(fmt.Sprintf("vm%d", i%3))
+		tickets = append(tickets, ticket)
 		group.Go(func() {
 			for try := range 3 {
 				reply, err := f.vms[fmt.Sprintf("vm%d", (i+try)%3)].writer.Write(t.Context(), request(ticket))
@@ -271,5 +273,14 @@
 		must.LessEq(t, 1, n, must.Sprint(ticket))
 	}
 	t.Logf("outcomes of 600 requests under 200 tickets: %v", outcomes)
-	must.Eq(t, 0, outcomes[wqpb.Outcome_OUTCOME_UNKNOWN], must.Sprint("no VM ended, so every outcome can be found out"))
+	f.loss = 0
+	for i, ticket := range tickets {
+		reply, err := f.vms[fmt.Sprintf("vm%d", (i+1)%3)].writer.Outcome(t.Context(), &wqpb.OutcomeRequest{Ticket: ticket, TimeoutMillis: 1000})
+		must.NoError(t, err)
+		want := wqpb.Outcome_OUTCOME_NOT_RUN
+		if f.runs[ticket] == 1 {
+			want = wqpb.Outcome_OUTCOME_DONE
+		}
+		must.Eq(t, want, reply.GetOutcome(), must.Sprintf("no VM ended, so every outcome can be found out: %s", ticket))
+	}
 }
