Serve gauges of the control state; name each listener's keys in one table

Cause: the page for operators had no figure for readiness, revision and members; the listeners chose their keys by name in a switch.

--- a/io/wqnode/node.go
+++ b/io/wqnode/node.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -152,6 +153,7 @@
 	releaseHolder := n.buildHolder()
 	n.buildWriter(self)
 	n.entry = n.newEntry()
+	n.addGauges()
 	return func() {
 		releaseHolder()
 		releasePool()
@@ -189,20 +191,14 @@
 	open := make([]*listener, 0, 3)
 	for _, o := range []struct {
 		name, address string
+		keys          *tls.Config
 		handler       http.Handler
 	}{
-		{"callers", addresses.Caller, n.callerHandler()},
-		{"peers", addresses.Peer, n.peerHandler()},
-		{"admin", addresses.Admin, adminHandler(n.metrics, n.view.Load)},
+		{"callers", addresses.Caller, n.keys.CallerServer(), n.callerHandler()},
+		{"peers", addresses.Peer, n.keys.PeerServer(), n.peerHandler()},
+		{"admin", addresses.Admin, nil, adminHandler(n.metrics, n.view.Load)},
 	} {
-		keys := n.keys.CallerServer()
-		switch o.name {
-		case "peers":
-			keys = n.keys.PeerServer()
-		case "admin":
-			keys = nil
-		}
-		l, err := listen(ctx, o.name, o.address, keys, o.handler, n.Log)
+		l, err := listen(ctx, o.name, o.address, o.keys, o.handler, n.Log)
 		if err != nil {
 			for _, l := range open {
 				_ = l.net.Close()
