Take a view's freshness from the member machine

Found in a read of the whole change: wqcontrol kept the time of the last answered question and the case of a lone VM beside wqmember.Machine, which keeps both, and the heartbeat's Send was taken apart on the way and put together again. Change: events carry the Send, the view takes Machine.FreshAt; wqcontrol keeps only the rule for a peer with a higher revision. A question now counts from when the machine asked for it, a moment earlier than before. The tests keep their assertions; the first one now runs through the control state.

--- a/core/wqcontrol/control.go
+++ b/core/wqcontrol/control.go
@@ -101,10 +101,9 @@
 	case HeartbeatSeen:
 		return Output{Reply: c.members.Receive(now, e.Message)}
 	case HeartbeatAnswered:
-		c.members.Ack(now, wqmember.Send{To: wqmember.Member{ID: e.ID}, At: e.SentAt}, e.Reply)
-		c.freshness.Confirm(e.SentAt)
+		c.members.Ack(now, e.Sent, e.Reply)
 	case HeartbeatFailed:
-		c.members.Failed(now, wqmember.Send{To: wqmember.Member{ID: e.ID}})
+		c.members.Failed(now, e.Sent)
 	case ConfigurationSeen:
 		c.config.Handle(now, e.Event)
 	case TargetSeen:
@@ -184,7 +183,7 @@
 		History:   c.config.History(),
 		Members:   c.known,
 		Holders:   c.holders,
-		FreshAt:   c.freshness.At(now, c.alone(), c.behind()),
+		FreshAt:   c.freshness.At(now, c.members.FreshAt(), c.behind()),
 		Targets:   c.health.States(),
 		Snapshots: c.snapshots,
 		Stopping:  c.stopping(now),
@@ -212,10 +211,6 @@
 	return true
 }
 
-// alone reports whether no other VM is known to live, so that nobody can know
-// anything newer but the store.
-func (c *Control) alone() bool { return len(c.known) <= 1 }
-
 // behind reports whether a peer has a higher revision in force.
 func (c *Control) behind() bool {
 	for _, m := range c.known {
--- a/core/wqcontrol/control_test.go
+++ b/core/wqcontrol/control_test.go
@@ -71,21 +71,24 @@
 func TestFreshnessCountsFromTheQuestion(t *testing.T) {
 	asked := time.Unix(1000, 0)
 	woken := asked.Add(10 * time.Second)
-	f := &freshness{}
-	f.Confirm(asked)
-	must.Eq(t, asked, f.At(woken, false, false), must.Sprint("the answer may have waited for a paused process"))
-	f.Confirm(woken)
-	must.Eq(t, woken, f.At(woken, false, false))
+	c := newControl(asked)
+	peer := wqmember.Member{ID: "vm2", Address: "127.0.0.1:2", Zone: "a", Region: "r", Epoch: 1, Incarnation: 1}
+	c.Handle(asked, HeartbeatSeen{Message: wqmember.Message{From: peer}})
+	answer := func(sentAt time.Time) time.Time {
+		c.Handle(woken, HeartbeatAnswered{Sent: wqmember.Send{To: peer, At: sentAt}, Reply: wqmember.Message{From: peer}})
+		return c.View(woken).FreshAt
+	}
+	must.Eq(t, asked, answer(asked), must.Sprint("the answer may have waited for a paused process"))
+	must.Eq(t, woken, answer(woken))
 }
 
 func TestFreshnessStopsWhileAPeerHasAHigherRevision(t *testing.T) {
 	heard := time.Unix(1000, 0)
+	later := heard.Add(time.Minute)
 	f := &freshness{}
-	f.Confirm(heard)
-	must.Eq(t, heard, f.At(heard, false, true))
-	f.Confirm(heard.Add(time.Minute))
-	must.Eq(t, heard, f.At(heard.Add(time.Minute), false, true))
-	must.Eq(t, heard.Add(time.Minute), f.At(heard.Add(time.Minute), false, false))
+	must.Eq(t, heard, f.At(heard, heard, true))
+	must.Eq(t, heard, f.At(later, later, true))
+	must.Eq(t, later, f.At(later, later, false))
 }
 
 func TestNewVMIsNotReadyBeforeSharesAreUsed(t *testing.T) {
--- a/core/wqcontrol/event.go
+++ b/core/wqcontrol/event.go
@@ -1,8 +1,6 @@
 package wqcontrol
 
 import (
-	"time"
-
 	"wisteriaquay/core/wqconfig"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqreport"
@@ -17,15 +15,14 @@
 // HeartbeatSeen carries a peer's message, which wants a reply.
 type HeartbeatSeen struct{ Message wqmember.Message }
 
-// HeartbeatAnswered carries the reply to a heartbeat that this VM sent to ID.
+// HeartbeatAnswered carries the reply to a heartbeat that this VM sent.
 type HeartbeatAnswered struct {
-	ID     string
-	SentAt time.Time // SentAt is when the heartbeat was sent: the reply is no older.
-	Reply  wqmember.Message
+	Sent  wqmember.Send
+	Reply wqmember.Message
 }
 
-// HeartbeatFailed names a VM that did not answer in time.
-type HeartbeatFailed struct{ ID string }
+// HeartbeatFailed carries a heartbeat that was not answered in time.
+type HeartbeatFailed struct{ Sent wqmember.Send }
 
 // ConfigurationSeen carries what the store, a peer or an operator told of the
 // configuration.
--- a/io/wqnode/control.go
+++ b/io/wqnode/control.go
@@ -55,19 +55,18 @@
 func (n *Node) deliverOne(s wqmember.Send) {
 	ctx, cancel := context.WithTimeout(context.Background(), n.timing.AckTimeout)
 	defer cancel()
-	sentAt := time.Now()
 	reply, err := n.pool.PeerClient(s.To.Address).Heartbeat(ctx, wqheartbeat.Encode(s.Message))
 	if err != nil {
-		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
+		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{Sent: s}})
 		return
 	}
 	decoded, err := wqheartbeat.Decode(reply)
 	if err != nil {
 		n.Log.Warn("a heartbeat's reply is malformed; check the versions of the VMs", "peer", s.To.ID, "error", err)
-		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{ID: s.To.ID}})
+		n.loop.Offer(message{event: wqcontrol.HeartbeatFailed{Sent: s}})
 		return
 	}
-	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{ID: s.To.ID, SentAt: sentAt, Reply: decoded}})
+	n.loop.Offer(message{event: wqcontrol.HeartbeatAnswered{Sent: s, Reply: decoded}})
 }
 
 // follow carries out what the configuration asks for, each action on a
