--- /dev/null
+++ b/core/wqplan/plan.go
@@ -0,0 +1,29 @@
+// Package wqplan holds what the control goroutine publishes for traffic to read:
+// the routing configuration in force and the searchers that may be used.
+//
+// # Usage
+//
+// A process keeps one atomic pointer to a Plan. Traffic goroutines load it for
+// each decision and never change it:
+//
+//	p := plan.Load()
+//	if !p.Ready() { ... refuse as not run ... }
+//	route := p.Table.Match(host, path)
+package wqplan
+
+import (
+	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqroute"
+)
+
+// Plan is one consistent picture of the control state.
+type Plan struct {
+	Table    *wqroute.Table    // Table is the configuration in force; nil until one is known.
+	Pools    wqdirectory.Pools // Pools are the searchers that may be used, by service.
+	Fleet    int               // Fleet is how many VMs share what holds for all of them, this one included.
+	Stopping bool              // Stopping is true from SIGTERM on.
+	AsOf     uint64            // AsOf is the store's revision that the plan includes.
+}
+
+// Ready reports whether callers should be sent to this VM.
+func (p *Plan) Ready() bool { return p != nil && p.Table != nil && !p.Stopping }
