--- a/cmd/wisteriaquay/command.go
+++ b/cmd/wisteriaquay/command.go
@@ -36,6 +36,7 @@
 func commands() []*command {
 	return []*command{
 		cmdServe,
+		cmdHost,
 		cmdQuery,
 		cmdWrite,
 		cmdPublish,
--- /dev/null
+++ b/cmd/wqhost/host.go
@@ -0,0 +1,150 @@
+// Package wqhost is one VM of the tier on the users' platform: it joins the
+// product to the platform's adapter, starts it, and stops it in order.
+//
+// # Usage
+//
+//	h := &wqhost.Host{Settings: settings, Log: log}
+//	err := h.Run(ctx) // returns after a graceful stop once ctx has ended
+package wqhost
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriaquay/core/wqallowance"
+	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqpulse"
+	"wisteriaquay/io/wqfeed"
+	"wisteriaquay/io/wqfront"
+	"wisteriaquay/io/wqkeeper"
+	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqrelay"
+	"wisteriaquay/io/wqstop"
+	"wisteriaquay/io/wqstore"
+	"wisteriaquay/io/wqtarget"
+	"wisteriaquay/platform/wqboot"
+	"wisteriaquay/platform/wqegress"
+	"wisteriaquay/platform/wqingress"
+	"wisteriaquay/platform/wqitem"
+	"wisteriaquay/platform/wqkv"
+)
+
+const (
+	storeTimeout = time.Second            // storeTimeout bounds a call to the store beyond a watch's wait; an answer takes 4 ms, or 240 ms when it is slow.
+	watchWait    = 4 * time.Second        // watchWait bounds how long a watch that fell silent goes unnoticed.
+	watchRest    = 150 * time.Millisecond // watchRest joins changes that come together; they are due within seconds.
+	firstBody    = 1 << 20                // firstBody bounds a body before the configuration is known, in bytes.
+)
+
+// Host is one VM. Set the exported fields before Run.
+type Host struct {
+	Settings    *wqboot.Settings
+	MetricsPort int // MetricsPort is where metrics are served; 0 serves none.
+	Log         *slog.Logger
+
+	keeper  *wqkeeper.Keeper
+	metrics *wqmetric.Metrics
+	front   *wqfront.Front
+	client  *wqtarget.Client
+}
+
+// Run serves until ctx ends, and then stops in order.
+func (h *Host) Run(ctx context.Context) error {
+	h.metrics = wqmetric.New()
+	h.keeper = wqkeeper.New(wqitem.Decode)
+	h.keeper.Log = h.Log
+	client, closeClient := wqtarget.New()
+	defer closeClient()
+	h.client = client
+	h.keeper.Changed = h.limitConnections
+	h.front = &wqfront.Front{Handler: h.callers(), Limits: h.limits, Log: h.Log}
+
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go h.keeper.Run(running)
+	go h.followStore(running)
+	stop, err := h.listen(running)
+	if err != nil {
+		return err
+	}
+	h.Log.Info("started", "zone", h.Settings.Zone, "callers", h.Settings.Callers, "store", h.Settings.Store)
+	<-ctx.Done()
+	h.Log.Info("stopping", "active", h.front.Active())
+	h.keeper.Stop(running)
+	err = stop(running)
+	h.Log.Info("stopped", "error", err)
+	return err
+}
+
+func (h *Host) followStore(ctx context.Context) {
+	store := &wqkv.Store{Client: &wqstore.Client{
+		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: storeTransport()},
+	}}
+	f := &wqfeed.Feed[*wqkv.Store]{
+		Name: "store", Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
+		Wait: watchWait, Rest: watchRest, Reached: func(bool) {}, Log: h.Log,
+	}
+	f.Run(ctx)
+}
+
+// callers returns the handler of callers' requests.
+func (h *Host) callers() http.Handler {
+	relay := &wqrelay.Relay[*wqegress.Sender]{
+		Plan: h.keeper.Plan, Sender: &wqegress.Sender{Client: h.client}, Board: wqpulse.New(), Zone: h.Settings.Zone,
+		Allowance: wqallowance.New(h.Settings.Extras, time.Now()),
+		Misplaced: h.keeper.Misplaced, Metrics: h.metrics, Log: h.Log,
+	}
+	handler := &wqingress.Handler{Serve: relay.Serve, BodyLimit: h.bodyLimit}
+	return wqstop.LastAnswers(handler, func() bool { return h.keeper.Plan().Stopping })
+}
+
+func (h *Host) bodyLimit() int64 {
+	if t := h.keeper.Plan().Table; t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
+	}
+	return firstBody
+}
+
+func (h *Host) limits() wqfront.Limits {
+	t := h.keeper.Plan().Table
+	if t == nil {
+		return wqfront.Limits{}
+	}
+	return wqfront.Limits{Header: t.Limits.HeaderTimeout, Idle: t.Limits.IdleTimeout}
+}
+
+// connectionReserve is the part of a searcher's connections that the fleet leaves
+// free: searchers take fewer while their queue is long, and VMs come and go.
+const connectionReserve = 0.15
+
+// limitConnections gives each searcher this VM's share of its connections.
+func (h *Host) limitConnections() {
+	p := h.keeper.Plan()
+	if p.Table == nil {
+		return
+	}
+	for service, targets := range p.Pools {
+		most := float64(p.Table.Services[service].Connections) * (1 - connectionReserve)
+		for _, t := range targets {
+			h.limitOne(t, max(1, int(most)/p.Fleet))
+		}
+	}
+}
+
+func (h *Host) limitOne(t *wqdirectory.Target, share int) {
+	t.Searcher.Connections = share
+	h.client.Limit(&t.Searcher, share)
+}
+
+// serveAll runs servers until one fails or ctx ends.
+func serveAll(ctx context.Context, servers ...func() error) *errgroup.Group {
+	g, _ := errgroup.WithContext(ctx)
+	for _, s := range servers {
+		g.Go(s)
+	}
+	return g
+}
--- /dev/null
+++ b/cmd/wqhost/listen.go
@@ -0,0 +1,106 @@
+package wqhost
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+
+	"wisteriaquay/core/wqdrain"
+	"wisteriaquay/io/wqstop"
+)
+
+const (
+	balancerLag   = 2500 * time.Millisecond // balancerLag is how long the balancer sends new connections after readiness fails: two questions a second apart, and the second in progress.
+	stopMargin    = 500 * time.Millisecond  // stopMargin is kept of the time until SIGKILL for the end of the process.
+	closeTime     = 200 * time.Millisecond  // closeTime is kept for closing what is left.
+	headerTimeout = 2 * time.Second         // headerTimeout bounds the header of the balancer's questions.
+	storeConnect  = 500 * time.Millisecond  // storeConnect bounds a new connection to the store, which is milliseconds away.
+	keepAlive     = time.Second             // keepAlive is the time between probes of a connection that waits for a change.
+	probes        = 3                       // probes is how many unanswered ones end it.
+	silence       = 3 * time.Second         // silence is how long sent bytes may stay without acknowledgement.
+)
+
+// listen opens the listeners and serves on them. It returns the function that
+// stops them in order.
+func (h *Host) listen(ctx context.Context) (func(context.Context) error, error) {
+	callers, err := open(ctx, "callers", h.Settings.Callers)
+	if err != nil {
+		return nil, err
+	}
+	readiness, err := open(ctx, "readiness", h.Settings.Readiness)
+	if err != nil {
+		return nil, err
+	}
+	ready := &http.Server{Handler: h.readiness(), ReadHeaderTimeout: headerTimeout}
+	servers := []func() error{
+		func() error { return h.front.Serve(callers) },
+		func() error { return ready.Serve(readiness) },
+	}
+	if address := h.Settings.MetricsAddress(h.MetricsPort); address != "" {
+		l, err := open(ctx, "metrics", address)
+		if err != nil {
+			return nil, err
+		}
+		metrics := &http.Server{Handler: h.metrics.Handler(), ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, func() error { return metrics.Serve(l) })
+	}
+	serveAll(ctx, servers...)
+	return h.stop, nil
+}
+
+// readiness answers the balancer.
+func (h *Host) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !h.keeper.Plan().Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// stop waits for the balancer, lets requests finish and closes.
+func (h *Host) stop(ctx context.Context) error {
+	s := &wqstop.Stopper{
+		Drain: &wqdrain.Drain{BalancerLag: balancerLag, Limit: h.Settings.StopLimit - stopMargin, Reserve: closeTime},
+		Work:  func() wqdrain.Work { return wqdrain.Work{Requests: h.front.Active()} },
+		Enter: func(ctx context.Context, p wqdrain.Phase) {
+			if p == wqdrain.Finishing {
+				if err := h.front.Stop(ctx); err != nil {
+					h.Log.Warn("callers were cut", "error", err)
+				}
+			}
+		},
+	}
+	return s.Run(ctx)
+}
+
+func open(ctx context.Context, name, address string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	return l, eris.Wrapf(err, "listen for %s on %s; free the port or change the setting", name, address)
+}
+
+// storeTransport returns a transport whose connections notice a store that has
+// fallen silent.
+func storeTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout:         storeConnect,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: probes},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+}
