Send a request that is not idempotent again only on proof

Change: wqgather allows one send that may have run unless the route is idempotent. Start sends nothing when too few services have a searcher.

--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -105,13 +105,32 @@
 	lookAgain = 10 * time.Millisecond // lookAgain is the time between two looks for another searcher or for budget.
 )
 
-// Start returns the first send to each service.
+// Start returns the first send to each service, none when too few services have
+// a searcher.
 func (g *Gather[P, H]) Start(now time.Time, pools wqdirectory.Pools) []Send {
 	g.shards = make([]shard, len(g.Services))
 	g.Results = make([]wqsend.Result, len(g.Services))
+	staffed := 0
+	for i, s := range g.Services {
+		g.shards[i].closed = len(pools[s]) == 0
+		if !g.shards[i].closed {
+			staffed++
+		}
+	}
+	if staffed < g.least() {
+		return nil
+	}
 	return g.Wake(now, pools)
 }
 
+// attempts returns how many searchers may begin to work on the request.
+func (g *Gather[P, H]) attempts() int {
+	if !g.Route.Idempotent {
+		return 1
+	}
+	return g.Route.Attempts
+}
+
 // Take notes the end of a send and returns the sends that follow from it.
 func (g *Gather[P, H]) Take(now time.Time, pools wqdirectory.Pools, sent Send, r wqsend.Result) []Send {
 	s := &g.shards[sent.Shard]
@@ -164,7 +183,7 @@
 	if s.answered || s.closed {
 		return sends
 	}
-	if s.runs >= g.Route.Attempts || s.sends >= mostSends {
+	if s.runs >= g.attempts() || s.sends >= mostSends {
 		s.closed = len(s.flights) == 0
 		return sends
 	}
@@ -224,7 +243,7 @@
 		case s.answered, s.closed:
 		case len(s.flights) == 0:
 			next = earlier(next, later(s.again, now.Add(time.Millisecond)))
-		case g.Route.Idempotent && s.runs < g.Route.Attempts && s.sends < mostSends:
+		case g.Route.Idempotent && s.runs < g.attempts() && s.sends < mostSends:
 			next = earlier(next, later(g.hedgeAt(s), now.Add(time.Millisecond)))
 		}
 	}
