Know the fleet by heartbeats; ask peers for what the store withholds

Change: wqkeeper owns a wqmember.Machine, whose heartbeats carry the revision of the items known; wqpeer serves heartbeats and items; the seeds are the VM list.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -17,11 +17,14 @@
 
 	"wisteriaquay/core/wqallowance"
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqpulse"
+	"wisteriaquay/io/wqdial"
 	"wisteriaquay/io/wqfeed"
 	"wisteriaquay/io/wqfront"
 	"wisteriaquay/io/wqkeeper"
 	"wisteriaquay/io/wqmetric"
+	"wisteriaquay/io/wqpeer"
 	"wisteriaquay/io/wqrelay"
 	"wisteriaquay/io/wqstop"
 	"wisteriaquay/io/wqstore"
@@ -55,8 +58,11 @@
 // Run serves until ctx ends, and then stops in order.
 func (h *Host) Run(ctx context.Context) error {
 	h.metrics = wqmetric.New()
-	h.keeper = wqkeeper.New(wqitem.Decode)
+	h.keeper = wqkeeper.New(h.self(), wqitem.Decode)
 	h.keeper.Log = h.Log
+	pool, closePool := wqdial.New(wqdial.Settings{Connections: 1, DialTimeout: peerConnect})
+	defer closePool()
+	h.keeper.Peers = &wqpeer.Client{Pool: pool, Keeper: h.keeper, HTTP: &http.Client{Transport: quickTransport()}, Log: h.Log}
 	client, closeClient := wqtarget.New()
 	defer closeClient()
 	h.client = client
@@ -66,6 +72,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	go h.keeper.Run(running)
+	h.keeper.Seed(running, h.Settings.Seeds)
 	go h.followStore(running)
 	stop, err := h.listen(running)
 	if err != nil {
@@ -80,9 +87,17 @@
 	return err
 }
 
+// self returns this VM as a member of the fleet.
+func (h *Host) self() wqmember.Member {
+	s := h.Settings
+	return wqmember.Member{
+		ID: s.VM, Address: s.Peers, Zone: s.Zone, Region: s.Region, Epoch: uint64(time.Now().UnixMilli()),
+	}
+}
+
 func (h *Host) followStore(ctx context.Context) {
 	store := &wqkv.Store{Client: &wqstore.Client{
-		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: storeTransport()},
+		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: quickTransport()},
 	}}
 	f := &wqfeed.Feed[*wqkv.Store]{
 		Name: "store", Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"wisteriaquay/core/wqdrain"
+	"wisteriaquay/io/wqpeer"
 	"wisteriaquay/io/wqstop"
 )
 
@@ -20,6 +21,7 @@
 	closeTime     = 200 * time.Millisecond  // closeTime is kept for closing what is left.
 	headerTimeout = 2 * time.Second         // headerTimeout bounds the header of the balancer's questions.
 	storeConnect  = 500 * time.Millisecond  // storeConnect bounds a new connection to the store, which is milliseconds away.
+	peerConnect   = 250 * time.Millisecond  // peerConnect bounds a new connection to a peer, within the time of a heartbeat.
 	keepAlive     = time.Second             // keepAlive is the time between probes of a connection that waits for a change.
 	probes        = 3                       // probes is how many unanswered ones end it.
 	silence       = 3 * time.Second         // silence is how long sent bytes may stay without acknowledgement.
@@ -49,6 +51,17 @@
 		metrics := &http.Server{Handler: h.metrics.Handler(), ReadHeaderTimeout: headerTimeout}
 		servers = append(servers, func() error { return metrics.Serve(l) })
 	}
+	if h.Settings.Peers != "" {
+		l, err := open(ctx, "peers", h.Settings.Peers)
+		if err != nil {
+			return nil, err
+		}
+		protocols := new(http.Protocols)
+		protocols.SetHTTP1(true)
+		protocols.SetUnencryptedHTTP2(true)
+		peers := &http.Server{Handler: (&wqpeer.Handler{Keeper: h.keeper}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		servers = append(servers, func() error { return peers.Serve(l) })
+	}
 	serveAll(ctx, servers...)
 	return h.stop, nil
 }
@@ -85,9 +98,9 @@
 	return l, eris.Wrapf(err, "listen for %s on %s; free the port or change the setting", name, address)
 }
 
-// storeTransport returns a transport whose connections notice a store that has
-// fallen silent.
-func storeTransport() *http.Transport {
+// quickTransport returns a transport whose connections notice within seconds
+// that the store or a peer has fallen silent.
+func quickTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout:         storeConnect,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: probes},
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -7,8 +7,8 @@
 // Decode translates the store's items. Run the keeper, deliver batches from any
 // goroutine, and read the plan from any other:
 //
-//	k := wqkeeper.New(wqitem.Decode)
-//	k.Log = log
+//	k := wqkeeper.New(self, wqitem.Decode)
+//	k.Peers, k.Log = peers, log
 //	go k.Run(ctx)
 //	k.Deliver(ctx, batch)
 //	plan := k.Plan()
@@ -18,11 +18,13 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"wisteriaquay/core/wqchange"
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqmirror"
 	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqroute"
@@ -41,6 +43,8 @@
 	done      chan<- struct{} // done is closed once a batch is in the plan.
 	misplaced *wqdirectory.Target
 	since     *since
+	heartbeat *heartbeat
+	seeds     []string
 	stop      bool
 }
 
@@ -53,8 +57,8 @@
 // Keeper owns the control state. Set the exported fields before Run.
 type Keeper struct {
 	Decode  func(wqmirror.Item) wqchange.Change
-	Fleet   func() int // Fleet counts the VMs, this one included.
-	Changed func()     // Changed is called after each new plan.
+	Peers   Peers
+	Changed func() // Changed is called after each new plan.
 	Log     *slog.Logger
 
 	loop      *wqloop.Loop[message]
@@ -63,21 +67,30 @@
 	directory wqdirectory.Directory
 	table     *wqroute.Table
 	zonesOut  map[string]bool
+	members   *wqmember.Machine
+	seeds     int // seeds counts the addresses that this VM was told at its start.
+	fleet     int
+	ahead     ahead
 	stopping  bool
+	dirty     bool      // dirty is true when the plan is older than the state.
+	poolsTo   time.Time // poolsTo is when the pools change by time alone; zero is never.
 }
 
-// New returns a keeper that believes nothing yet.
-func New(decode func(wqmirror.Item) wqchange.Change) *Keeper {
+// New returns a keeper for one VM that believes nothing yet.
+func New(self wqmember.Member, decode func(wqmirror.Item) wqchange.Change) *Keeper {
+	random := rand.New(rand.NewPCG(self.Epoch, rand.Uint64()))
 	k := &Keeper{
 		Decode:    decode,
-		Fleet:     func() int { return 1 },
+		Peers:     nobody{},
 		Changed:   func() {},
+		members:   &wqmember.Machine{Self: self, Random: random, Timing: wqmember.DefaultTiming()},
 		Log:       slog.New(slog.DiscardHandler),
 		loop:      wqloop.New[message](inbox),
 		mirror:    wqmirror.New(),
 		directory: wqdirectory.Directory{Grace: grace},
 		zonesOut:  make(map[string]bool),
 	}
+	k.members.Start(time.Now())
 	k.loop.Handle, k.loop.Settle = k.handle, k.settle
 	k.plan.Store(&wqplan.Plan{Fleet: 1})
 	return k
@@ -130,35 +143,44 @@
 	switch {
 	case m.batch != nil:
 		k.take(now, *m.batch)
-		k.publish(now)
+		k.publish(now) // Deliver promises that the batch is in force when it returns.
 		close(m.done)
 	case m.since != nil:
 		m.since.reply <- k.mirror.Since(now, m.since.after)
 	case m.misplaced != nil:
 		t := m.misplaced
 		k.directory.Misplace(t.Searcher.ID, t.Born)
+		k.dirty = true
 		k.Log.Info("another searcher is at the address", "searcher", t.Searcher.ID, "address", t.Searcher.Address, "service", t.Searcher.Service)
+	case m.heartbeat != nil:
+		k.beat(now, m.heartbeat)
+	case m.seeds != nil:
+		k.seed(now, m.seeds)
 	case m.stop:
-		k.stopping = true
+		k.stopping, k.dirty = true, true
+		k.members.Leave(now)
 	}
 }
 
 func (k *Keeper) settle(now time.Time) time.Time {
-	next := k.publish(now)
-	if latest := now.Add(longestSleep); next.IsZero() || next.After(latest) {
-		return latest
+	next := k.beats(now)
+	if k.dirty || !k.poolsTo.IsZero() && !now.Before(k.poolsTo) {
+		k.publish(now)
+	}
+	if !k.poolsTo.IsZero() && k.poolsTo.Before(next) {
+		return k.poolsTo
 	}
 	return next
 }
 
-// publish makes the newest plan and returns when it changes by time alone.
-func (k *Keeper) publish(now time.Time) time.Time {
+// publish makes the newest plan.
+func (k *Keeper) publish(now time.Time) {
 	pools, next := k.directory.Pools(now)
 	k.plan.Store(&wqplan.Plan{
-		Table: k.table, Pools: pools, Fleet: max(k.Fleet(), 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
+		Table: k.table, Pools: pools, Fleet: max(k.fleet, 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
 	})
+	k.poolsTo, k.dirty = next, false
 	k.Changed()
-	return next
 }
 
 func (k *Keeper) take(now time.Time, b wqmirror.Batch) {
--- /dev/null
+++ b/io/wqkeeper/members.go
@@ -0,0 +1,149 @@
+package wqkeeper
+
+import (
+	"context"
+	"time"
+
+	"wisteriaquay/core/wqmember"
+)
+
+// fetchPatience is how long the store is given to tell this VM itself what a
+// peer knows already: a watch and the rest after it.
+const fetchPatience = 400 * time.Millisecond
+
+// Peers carries messages to other VMs. Both calls return at once; what comes
+// back is handed to the keeper.
+type Peers interface {
+	// Heartbeat sends a message; Answered or Failed tells how that ended.
+	Heartbeat(s wqmember.Send)
+	// Fetch asks a peer for what it knows beyond a revision and delivers it.
+	Fetch(from wqmember.Member, after uint64)
+}
+
+// heartbeat is a peer's message, or how one to a peer ended.
+type heartbeat struct {
+	sent    wqmember.Send
+	message wqmember.Message
+	failed  bool
+	reply   chan<- wqmember.Message // reply is set for a peer's message.
+}
+
+// ahead is a peer that knows more than this VM.
+type ahead struct {
+	member wqmember.Member
+	since  time.Time
+}
+
+// Heard hands a peer's message to the control goroutine and returns the reply.
+func (k *Keeper) Heard(ctx context.Context, m wqmember.Message) (wqmember.Message, bool) {
+	reply := make(chan wqmember.Message, 1)
+	if !k.loop.Post(ctx, message{heartbeat: &heartbeat{message: m, reply: reply}}) {
+		return wqmember.Message{}, false
+	}
+	select {
+	case r := <-reply:
+		return r, true
+	case <-ctx.Done():
+	case <-k.loop.Done():
+	}
+	return wqmember.Message{}, false
+}
+
+// Answered notes the reply to a heartbeat.
+func (k *Keeper) Answered(s wqmember.Send, reply wqmember.Message) {
+	k.loop.Offer(message{heartbeat: &heartbeat{sent: s, message: reply}})
+}
+
+// Failed notes that a heartbeat was not answered.
+func (k *Keeper) Failed(s wqmember.Send) {
+	k.loop.Offer(message{heartbeat: &heartbeat{sent: s, failed: true}})
+}
+
+// Seed names addresses where other VMs may be.
+func (k *Keeper) Seed(ctx context.Context, addresses []string) {
+	k.loop.Post(ctx, message{seeds: addresses})
+}
+
+func (k *Keeper) seed(now time.Time, addresses []string) {
+	listed := make([]wqmember.Listed, 0, len(addresses))
+	for _, a := range addresses {
+		listed = append(listed, wqmember.Listed{ID: a, Address: a})
+	}
+	k.seeds = len(listed)
+	k.members.Seed(now, listed)
+}
+
+func (k *Keeper) beat(now time.Time, h *heartbeat) {
+	switch {
+	case h.failed:
+		k.members.Failed(now, h.sent)
+		return
+	case h.reply != nil:
+		h.reply <- k.members.Receive(now, h.message)
+	default:
+		k.members.Ack(now, h.sent, h.message)
+	}
+	k.compare(now, h.message.From)
+}
+
+// compare notes a peer that knows more than this VM.
+func (k *Keeper) compare(now time.Time, from wqmember.Member) {
+	if from.Revision <= k.mirror.AsOf() || from.Address == "" {
+		return
+	}
+	if k.ahead.member.Revision <= k.mirror.AsOf() {
+		k.ahead.since = now
+	}
+	k.ahead.member = from
+}
+
+// catchUp asks the peer that is ahead once the store had time to answer.
+func (k *Keeper) catchUp(now time.Time) {
+	asOf := k.mirror.AsOf()
+	if k.ahead.member.Revision <= asOf || now.Before(k.ahead.since.Add(fetchPatience)) {
+		return
+	}
+	k.ahead.since = now
+	k.Log.Info("asking a peer", "peer", k.ahead.member.ID, "as_of", asOf, "peer_as_of", k.ahead.member.Revision)
+	k.Peers.Fetch(k.ahead.member, asOf)
+}
+
+// beats sends the heartbeats that are due and returns when the next ones are.
+func (k *Keeper) beats(now time.Time) time.Time {
+	k.members.Self.Revision = k.mirror.AsOf()
+	for _, s := range k.members.Tick(now) {
+		k.Peers.Heartbeat(s)
+	}
+	k.catchUp(now)
+	if fleet := k.countFleet(); fleet != k.fleet {
+		k.Log.Info("fleet", "vms", fleet, "before", k.fleet)
+		k.fleet, k.dirty = fleet, true
+	}
+	next := k.members.Next()
+	if due := k.ahead.since.Add(fetchPatience); k.ahead.member.Revision > k.mirror.AsOf() && due.Before(next) {
+		return due
+	}
+	return next
+}
+
+// countFleet counts the VMs that may use a share of what holds for all: those
+// that are out of reach may run on, so only those that said they ended do not
+// count.
+func (k *Keeper) countFleet() int {
+	n := 0
+	for _, m := range k.members.Members() {
+		if m.State != wqmember.Left {
+			n++
+		}
+	}
+	return max(n, k.seeds)
+}
+
+// nobody is the Peers of a VM that is alone.
+type nobody struct{}
+
+// Heartbeat does nothing.
+func (nobody) Heartbeat(wqmember.Send) {}
+
+// Fetch does nothing.
+func (nobody) Fetch(wqmember.Member, uint64) {}
