--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 GO ?= go
-MODULES := ./core/... ./io/... ./cmd/... ./test/...
+MODULES := ./core/... ./io/... ./platform/... ./cmd/... ./test/...
 # Tests that KNOWN-RED.txt names are passed over.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 LINT_VERSION := v2.15.0
@@ -16,10 +16,10 @@
 	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(MODULES)
 
 lint: $(LINT)
-	@for m in core io cmd test; do (cd $$m && ../$(LINT) run ./...) || exit 1; done
+	@for m in core io platform cmd test; do (cd $$m && ../$(LINT) run ./...) || exit 1; done
 
 format: $(LINT)
-	@for m in core io cmd test; do (cd $$m && ../$(LINT) fmt ./...) || exit 1; done
+	@for m in core io platform cmd test; do (cd $$m && ../$(LINT) fmt ./...) || exit 1; done
 
 $(LINT):
 	GOBIN=$(CURDIR)/bin/tmp GOWORK=off GOFLAGS=-mod=mod $(GO) install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
