Stand in for the platform in tests: store, searchers, callers that check

Real processes of 'wisteriaquay host' on loopback: versions and shards that change under load, a VM refused by the store, a start while it is down, forgotten history, draining, SIGTERM, SIGHUP, searchers that hang, lose, double, cut, decline, fail.

--- /dev/null
+++ b/test/tier/path_test.go
@@ -0,0 +1,203 @@
+package tier_test
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/test/wqplatform"
+)
+
+const shards = 5
+
+var cut1 = wqplatform.Shards(1, shards)
+
+// start returns a fleet that serves version 1.
+func start(t *testing.T, vms int) *wqplatform.Fleet {
+	t.Helper()
+	f := wqplatform.Start(t, wqplatform.Options{VMs: vms, Shards: shards})
+	f.Configure(f.Configuration(1, cut1))
+	f.WaitReady()
+	return f
+}
+
+// load asks all VMs until stop is called, which returns how many requests were
+// sent in all.
+func load(f *wqplatform.Fleet, clients int) (stop func()) {
+	done := make(chan struct{})
+	var g sync.WaitGroup
+	for i := range clients {
+		g.Go(func() {
+			targets := []string{"/all/", "/one/", "/write/"}
+			for n := i; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				method := http.MethodGet
+				if target := targets[n%3]; target == "/write/" {
+					method = http.MethodPost
+				}
+				f.Ask(f.VMs[n%len(f.VMs)], method, targets[n%3]+"x", "body", time.Second)
+			}
+		})
+	}
+	return func() {
+		close(done)
+		g.Wait()
+	}
+}
+
+func checkPromises(t *testing.T, f *wqplatform.Fleet, sets ...[]string) {
+	t.Helper()
+	must.SliceEmpty(t, f.Check(append(sets, cut1)...))
+}
+
+func TestEveryKindOfRequestIsServed(t *testing.T) {
+	f := start(t, 2)
+	for _, vm := range f.VMs {
+		all := f.Ask(vm, http.MethodGet, "/all/a%2Fb?x=1%20", "", time.Second)
+		must.Eq(t, http.StatusOK, all.Code)
+		must.Eq(t, 0, all.Missing())
+		must.Eq(t, http.StatusOK, f.Ask(vm, http.MethodGet, "/one/a", "", time.Second).Code)
+		must.Eq(t, http.StatusOK, f.Ask(vm, http.MethodPost, "/write/a", "order", time.Second).Code)
+		must.Eq(t, http.StatusNotFound, f.Ask(vm, http.MethodGet, "/none/a", "", time.Second).Code)
+		must.Eq(t, http.StatusRequestEntityTooLarge, f.Ask(vm, http.MethodPost, "/write/a", strings.Repeat("x", 5000), time.Second).Code)
+	}
+	checkPromises(t, f)
+	must.Eq(t, "GET /all/a%2Fb?x=1%20 ", f.Of(cut1[0])[0].Runs()[0].Target, must.Sprint("the request is passed on unchanged"))
+}
+
+func TestNoConfigurationIsNeverNotFound(t *testing.T) {
+	f := wqplatform.Start(t, wqplatform.Options{VMs: 1, Shards: shards})
+	f.Store.SetDown(true)
+	vm := f.VMs[0]
+	f.Eventually(5*time.Second, func() bool { return f.Ask(vm, http.MethodGet, "/one/a", "", time.Second).Code != 0 })
+	r := f.Ask(vm, http.MethodGet, "/one/a", "", time.Second)
+	must.Eq(t, http.StatusServiceUnavailable, r.Code)
+	must.NotEq(t, "", r.Header.Get("Retry-After"))
+	must.False(t, vm.IsReady())
+	f.Store.SetDown(false)
+	f.Configure(f.Configuration(1, cut1))
+	f.WaitReady()
+}
+
+func TestVersionsAndShardsChangeUnderLoad(t *testing.T) {
+	f := start(t, 3)
+	stop := load(f, 4)
+	cut2 := wqplatform.Shards(2, shards-2)
+	for _, s := range cut2 {
+		f.AddSearcher(s, "a")
+		f.AddSearcher(s, "b")
+	}
+	time.Sleep(500 * time.Millisecond)
+	next := f.Configuration(9, cut2)
+	next.Routes = next.Routes[:2] // The write route is gone.
+	f.Configure(next)
+	time.Sleep(wqplatform.ApplyBound)
+	stop()
+	checkPromises(t, f, cut2)
+	for _, vm := range f.VMs {
+		must.Eq(t, http.StatusNotFound, f.Ask(vm, http.MethodPost, "/write/a", "", time.Second).Code)
+		must.Eq(t, http.StatusOK, f.Ask(vm, http.MethodGet, "/all/a", "", time.Second).Code)
+	}
+	must.SliceNotEmpty(t, f.Of(cut2[0])[0].Runs())
+}
+
+func TestVMThatTheStoreRefusesLearnsFromPeers(t *testing.T) {
+	f := start(t, 3)
+	f.VMs[0].Store.Cut()
+	time.Sleep(time.Second)
+	f.Configure(f.Configuration(5, wqplatform.Shards(1, shards-1)))
+	f.Store.Put("op/evacuate/a", struct{}{})
+	time.Sleep(wqplatform.ApplyBound)
+	before := len(f.Of("orders")[0].Runs())
+	for range 10 {
+		r := f.Ask(f.VMs[0], http.MethodGet, "/all/x", "", time.Second)
+		must.Eq(t, shards-1, len(strings.Split(r.Header.Get("Part-Stamps"), ", ")))
+		must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/one/x", "", time.Second).Code)
+	}
+	must.Eq(t, before, len(f.Of("orders")[0].Runs()), must.Sprint("zone a is out"))
+	must.StrContains(t, f.VMs[0].Log(), "items from a peer")
+	checkPromises(t, f, wqplatform.Shards(1, shards-1))
+}
+
+func TestVMStartsWhileTheStoreIsDown(t *testing.T) {
+	f := start(t, 3)
+	f.Configure(f.Configuration(4, cut1))
+	time.Sleep(time.Second)
+	f.Store.SetDown(true)
+	f.VMs[0].Kill()
+	f.VMs[0].Start()
+	f.WaitReady()
+	must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/all/x", "", time.Second).Code)
+	checkPromises(t, f)
+}
+
+func TestStoreThatForgotItsHistoryIsListed(t *testing.T) {
+	f := start(t, 1)
+	f.Store.SetDown(true)
+	f.Store.Remove("servers/" + f.Of("orders")[0].ID)
+	f.Store.Forget()
+	f.Store.SetDown(false)
+	f.Configure(f.Configuration(3, cut1))
+	time.Sleep(wqplatform.DrainBound)
+	before := len(f.Of("orders")[0].Runs())
+	for range 10 {
+		must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/one/x", "", time.Second).Code)
+	}
+	must.Eq(t, before, len(f.Of("orders")[0].Runs()), must.Sprint("its removal was in the forgotten part"))
+}
+
+func TestLeavingSearcherGetsNothingAfterTheBound(t *testing.T) {
+	f := start(t, 2)
+	stop := load(f, 3)
+	leaving := f.Of("orders")[0]
+	f.Register(leaving, "draining", 2)
+	time.Sleep(wqplatform.DrainBound)
+	before := len(leaving.Runs())
+	time.Sleep(time.Second)
+	stop()
+	must.Eq(t, before, len(leaving.Runs()))
+	checkPromises(t, f)
+}
+
+func TestStopsUnderLoadCutNoRequest(t *testing.T) {
+	f := start(t, 3)
+	for _, s := range f.Of("orders") {
+		s.Behave(wqplatform.Behaviour{Work: 300 * time.Millisecond})
+	}
+	vm := f.VMs[0]
+	var g sync.WaitGroup
+	for range 10 {
+		g.Go(func() {
+			r := f.Ask(vm, http.MethodGet, "/one/x", "", 2*time.Second)
+			must.Eq(t, http.StatusOK, r.Code)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	vm.Signal(syscall.SIGTERM)
+	f.Eventually(time.Second, func() bool { return !vm.IsReady() })
+	late := f.Ask(vm, http.MethodGet, "/one/x", "", 2*time.Second)
+	must.Eq(t, http.StatusOK, late.Code, must.Sprint("the balancer still sends some"))
+	g.Wait()
+	select {
+	case <-vm.Ended():
+	case <-time.After(6 * time.Second):
+		t.Fatal("the VM runs on after its time")
+	}
+	checkPromises(t, f)
+}
+
+func TestReloadDoesNotEndTheProcess(t *testing.T) {
+	f := start(t, 1)
+	f.VMs[0].Signal(syscall.SIGHUP)
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/one/x", "", time.Second).Code)
+}
--- /dev/null
+++ b/test/tier/searcher_test.go
@@ -0,0 +1,120 @@
+package tier_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/test/wqplatform"
+)
+
+// each sets the behaviour of all searchers of a service.
+func each(f *wqplatform.Fleet, service string, b wqplatform.Behaviour) {
+	for _, s := range f.Of(service) {
+		s.Behave(b)
+	}
+}
+
+func TestFaultySearchersNeverSpoilAnAnswer(t *testing.T) {
+	for name, b := range map[string]wqplatform.Behaviour{
+		"second answer": {Twice: true}, "answer lost": {Lose: true}, "answer broken off": {Truncate: true},
+		"declines": {Shed: true}, "fails": {Fail: true}, "hangs": {Hang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, 1)
+			for _, s := range append(cut1[:2:2], "orders", "invoices") {
+				f.Of(s)[0].Behave(b)
+			}
+			stop := load(f, 4)
+			time.Sleep(2 * time.Second)
+			stop()
+			checkPromises(t, f)
+		})
+	}
+}
+
+func TestWriteWhoseAnswerIsLostIsNotSaidNotToHaveRun(t *testing.T) {
+	f := start(t, 1)
+	each(f, "invoices", wqplatform.Behaviour{Lose: true})
+	for range 5 {
+		must.Eq(t, http.StatusBadGateway, f.Ask(f.VMs[0], http.MethodPost, "/write/x", "order", time.Second).Code)
+	}
+	checkPromises(t, f)
+}
+
+func TestWriteThatNobodyTakesIsRefusedWithATime(t *testing.T) {
+	f := start(t, 1)
+	each(f, "invoices", wqplatform.Behaviour{Shed: true})
+	r := f.Ask(f.VMs[0], http.MethodPost, "/write/x", "order", 500*time.Millisecond)
+	must.Eq(t, http.StatusServiceUnavailable, r.Code)
+	must.NotEq(t, "", r.Header.Get("Retry-After"))
+}
+
+func TestSearchersOwnFailureIsPassedOn(t *testing.T) {
+	f := start(t, 1)
+	each(f, "invoices", wqplatform.Behaviour{Fail: true})
+	r := f.Ask(f.VMs[0], http.MethodPost, "/write/x", "order", time.Second)
+	must.Eq(t, http.StatusInternalServerError, r.Code)
+	must.NotEq(t, "", r.Header.Get("Server-Stamp"))
+}
+
+func TestSearchersStopWhenTheCallerLeaves(t *testing.T) {
+	f := start(t, 1)
+	each(f, "orders", wqplatform.Behaviour{Work: 5 * time.Second})
+	must.Eq(t, 0, f.AskAndLeave(f.VMs[0], http.MethodGet, "/one/x", "", 5*time.Second, 100*time.Millisecond).Code)
+	f.Eventually(500*time.Millisecond, func() bool {
+		for _, s := range f.Of("orders") {
+			if len(s.Runs()) != s.Cancelled() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestAnswerIsCompleteWhenOneOfTwoSearchersHangs(t *testing.T) {
+	f := start(t, 1)
+	f.Of(cut1[0])[0].Behave(wqplatform.Behaviour{Hang: true})
+	for range 20 {
+		r := f.Ask(f.VMs[0], http.MethodGet, "/all/x", "", time.Second)
+		must.Eq(t, http.StatusOK, r.Code)
+		must.Eq(t, 0, r.Missing())
+	}
+}
+
+func TestIncompleteAnswerIsLabelledAndInTime(t *testing.T) {
+	f := start(t, 1)
+	each(f, cut1[0], wqplatform.Behaviour{Hang: true})
+	r := f.Ask(f.VMs[0], http.MethodGet, "/all/x", "", time.Second)
+	must.Eq(t, http.StatusOK, r.Code)
+	must.Eq(t, 1, r.Missing())
+	must.Less(t, 400*time.Millisecond, r.Took, must.Sprint("the objective is 200 ms"))
+	checkPromises(t, f)
+}
+
+func TestTooFewShardsEndAtOnce(t *testing.T) {
+	f := start(t, 1)
+	for _, s := range cut1[:2] {
+		for _, searcher := range f.Of(s) {
+			f.Store.Remove("servers/" + searcher.ID)
+		}
+	}
+	time.Sleep(wqplatform.DrainBound)
+	r := f.Ask(f.VMs[0], http.MethodGet, "/all/x", "", 2*time.Second)
+	must.Eq(t, http.StatusServiceUnavailable, r.Code)
+	must.Less(t, 200*time.Millisecond, r.Took)
+}
+
+func TestAddressOfAnotherSearcherIsLeftAlone(t *testing.T) {
+	f := start(t, 1)
+	moved := f.Of("orders")[0]
+	moved.Address = f.Of("invoices")[0].Address
+	f.Register(moved, "ready", 7)
+	time.Sleep(500 * time.Millisecond)
+	for range 20 {
+		must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/one/x", "", time.Second).Code)
+	}
+	checkPromises(t, f)
+}
