Run fan-outs of large fleets at a few hubs in each zone

Change: wqhub chooses hubs (two a zone and more with size, large VMs first; none up to 12 VMs); an entry hands a fan-out with its route to a hub of its zone, so versions are the entry's; heartbeats carry the VM's capacity.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -50,6 +50,7 @@
 	Log         *slog.Logger
 
 	keeper  *wqkeeper.Keeper
+	relay   *wqrelay.Relay[*wqegress.Sender]
 	metrics *wqmetric.Metrics
 	front   *wqfront.Front
 	client  *wqtarget.Client
@@ -62,11 +63,13 @@
 	h.keeper.Log = h.Log
 	pool, closePool := wqdial.New(wqdial.Settings{Connections: 1, DialTimeout: peerConnect})
 	defer closePool()
-	h.keeper.Peers = &wqpeer.Client{Pool: pool, Keeper: h.keeper, HTTP: &http.Client{Transport: quickTransport()}, Log: h.Log}
+	peers := &wqpeer.Client{Pool: pool, Keeper: h.keeper, HTTP: &http.Client{Transport: quickTransport()}, Zone: h.Settings.Zone, Log: h.Log}
+	h.keeper.Peers = peers
 	client, closeClient := wqtarget.New()
 	defer closeClient()
 	h.client = client
 	h.keeper.Changed = h.limitConnections
+	h.relay = h.newRelay(peers)
 	h.front = &wqfront.Front{Handler: h.callers(), Limits: h.limits, Log: h.Log}
 
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -91,7 +94,7 @@
 func (h *Host) self() wqmember.Member {
 	s := h.Settings
 	return wqmember.Member{
-		ID: s.VM, Address: s.Peers, Zone: s.Zone, Region: s.Region, Epoch: uint64(time.Now().UnixMilli()),
+		ID: s.VM, Address: s.Peers, Zone: s.Zone, Region: s.Region, Epoch: uint64(time.Now().UnixMilli()), Capacity: s.Capacity,
 	}
 }
 
@@ -106,14 +109,17 @@
 	f.Run(ctx)
 }
 
-// callers returns the handler of callers' requests.
-func (h *Host) callers() http.Handler {
-	relay := &wqrelay.Relay[*wqegress.Sender]{
+func (h *Host) newRelay(hubs wqrelay.Hubs) *wqrelay.Relay[*wqegress.Sender] {
+	return &wqrelay.Relay[*wqegress.Sender]{
 		Plan: h.keeper.Plan, Sender: &wqegress.Sender{Client: h.client}, Board: wqpulse.New(), Zone: h.Settings.Zone,
-		Allowance: wqallowance.New(h.Settings.Extras, time.Now()),
+		Allowance: wqallowance.New(h.Settings.Extras, time.Now()), Hubs: hubs,
 		Misplaced: h.keeper.Misplaced, Metrics: h.metrics, Log: h.Log,
 	}
-	handler := &wqingress.Handler{Serve: relay.Serve, BodyLimit: h.bodyLimit}
+}
+
+// callers returns the handler of callers' requests.
+func (h *Host) callers() http.Handler {
+	handler := &wqingress.Handler{Serve: h.relay.Serve, BodyLimit: h.bodyLimit}
 	return wqstop.LastAnswers(handler, func() bool { return h.keeper.Plan().Stopping })
 }
 
@@ -136,16 +142,25 @@
 // free: searchers take fewer while their queue is long, and VMs come and go.
 const connectionReserve = 0.15
 
-// limitConnections gives each searcher this VM's share of its connections.
+// limitConnections gives each searcher this VM's share of its connections. The
+// searchers of fan-outs are shared by the VMs that run them.
 func (h *Host) limitConnections() {
 	p := h.keeper.Plan()
 	if p.Table == nil {
 		return
 	}
+	shards := p.Table.Shards()
 	for service, targets := range p.Pools {
-		most := float64(p.Table.Services[service].Connections) * (1 - connectionReserve)
+		sharers, own := max(p.Fleet, 1), true
+		if shards[service] {
+			sharers, own = p.Sharers()
+		}
+		share := int(float64(p.Table.Services[service].Connections) * (1 - connectionReserve) / float64(sharers))
+		if !own {
+			share = 1
+		}
 		for _, t := range targets {
-			h.limitOne(t, max(1, int(most)/p.Fleet))
+			h.limitOne(t, max(1, share))
 		}
 	}
 }
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -24,6 +24,7 @@
 	peerConnect   = 250 * time.Millisecond  // peerConnect bounds a new connection to a peer, within the time of a heartbeat.
 	keepAlive     = time.Second             // keepAlive is the time between probes of a connection that waits for a change.
 	probes        = 3                       // probes is how many unanswered ones end it.
+	idlePerPeer   = 8                       // idlePerPeer is how many unused connections to a peer or to the store are kept.
 	silence       = 3 * time.Second         // silence is how long sent bytes may stay without acknowledgement.
 )
 
@@ -59,7 +60,7 @@
 		protocols := new(http.Protocols)
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
-		peers := &http.Server{Handler: (&wqpeer.Handler{Keeper: h.keeper}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		peers := &http.Server{Handler: (&wqpeer.Handler{Keeper: h.keeper, Run: h.relay.Run}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
 		servers = append(servers, func() error { return peers.Serve(l) })
 	}
 	serveAll(ctx, servers...)
@@ -115,5 +116,5 @@
 			return failed
 		},
 	}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: idlePerPeer}
 }
--- /dev/null
+++ b/core/wqhub/policy_test.go
@@ -0,0 +1,54 @@
+package wqhub_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqhub"
+	"wisteriaquay/core/wqmember"
+)
+
+func fleet(size, large int) []wqmember.Member {
+	members := make([]wqmember.Member, size)
+	for i := range members {
+		members[i] = wqmember.Member{ID: fmt.Sprintf("vm-%03d", i), Zone: string(rune('a' + i%3)), Capacity: 192}
+		if i < large {
+			members[i].Capacity = 800
+		}
+	}
+	return members
+}
+
+func TestSmallFleetsHaveNoHubs(t *testing.T) {
+	must.Nil(t, wqhub.DefaultPolicy().Choose(fleet(8, 0)))
+}
+
+func TestLargeVMsAreHubsFirst(t *testing.T) {
+	hubs := wqhub.DefaultPolicy().Choose(fleet(87, 6))
+	must.Len(t, 6, hubs)
+	for _, h := range hubs {
+		must.Eq(t, 800, h.Capacity)
+	}
+}
+
+func TestHubsGrowWithTheFleetAndEachZoneHasTwo(t *testing.T) {
+	must.Len(t, 6, wqhub.DefaultPolicy().Choose(fleet(13, 0)))
+	must.Len(t, 21, wqhub.DefaultPolicy().Choose(fleet(300, 0)))
+}
+
+func TestLossOfAHubChangesOneHubOnly(t *testing.T) {
+	live := fleet(87, 6)
+	before := wqhub.DefaultPolicy().Choose(live)
+	after := wqhub.DefaultPolicy().Choose(live[1:])
+	same := 0
+	for _, h := range after {
+		for _, b := range before {
+			if h.ID == b.ID {
+				same++
+			}
+		}
+	}
+	must.Eq(t, len(before)-1, same)
+}
--- a/core/wqmember/member.go
+++ b/core/wqmember/member.go
@@ -50,6 +50,7 @@
 	State       State
 	Isolated    bool   // Isolated is true while it takes itself for cut off; each change comes with a higher incarnation.
 	Revision    uint64 // Revision is the configuration it last reported in force.
+	Capacity    int    // Capacity is what it can carry, in thousandths of a core; 0 is unknown.
 }
 
 // newer reports whether the change m overrides what is known of the same VM.
@@ -62,7 +63,7 @@
 
 // brief returns m without what a receiver that knows the VM has already.
 func (m Member) brief() Member {
-	m.Address, m.Zone, m.Region = "", "", ""
+	m.Address, m.Zone, m.Region, m.Capacity = "", "", "", 0
 	return m
 }
 
--- a/core/wqmember/merge.go
+++ b/core/wqmember/merge.go
@@ -71,7 +71,7 @@
 	restarted := c.Epoch != p.Epoch
 	before := p.Member
 	if c.Address == "" {
-		c.Address, c.Zone, c.Region = p.Address, p.Zone, p.Region
+		c.Address, c.Zone, c.Region, c.Capacity = p.Address, p.Zone, p.Region, p.Capacity
 	}
 	if c.State.Live() && c.Address == "" {
 		return
--- a/core/wqroute/table.go
+++ b/core/wqroute/table.go
@@ -25,6 +25,7 @@
 	Limits   Limits
 
 	byHost map[string][]*Route // byHost holds the routes of each host, longest prefix first.
+	shards map[string]bool
 }
 
 // Service is a set of searchers that answer equally well.
@@ -68,9 +69,12 @@
 
 // NewTable returns a table over these routes.
 func NewTable(version uint64, routes []Route, services map[string]Service, limits Limits) *Table {
-	t := &Table{Version: version, Services: services, Limits: limits, byHost: make(map[string][]*Route)}
+	t := &Table{Version: version, Services: services, Limits: limits, byHost: make(map[string][]*Route), shards: make(map[string]bool)}
 	for i := range routes {
 		r := &routes[i]
+		for _, s := range r.Shards {
+			t.shards[s] = true
+		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, rows := range t.byHost {
@@ -89,6 +93,9 @@
 	return nil
 }
 
+// Shards returns the services that are a shard of some route.
+func (t *Table) Shards() map[string]bool { return t.shards }
+
 // Routes counts the routes.
 func (t *Table) Routes() int {
 	n := 0
--- a/io/wqheartbeat/heartbeat.go
+++ b/io/wqheartbeat/heartbeat.go
@@ -67,6 +67,7 @@
 	return &wqpb.MemberChange{
 		Id: m.ID, Address: m.Address, Zone: m.Zone, Region: m.Region,
 		Incarnation: m.Incarnation, Epoch: m.Epoch, State: uint32(m.State), Revision: m.Revision, Isolated: m.Isolated,
+		Capacity: uint32(max(m.Capacity, 0)),
 	}
 }
 
@@ -85,7 +86,7 @@
 	return wqmember.Member{
 		ID: c.GetId(), Address: c.GetAddress(), Zone: c.GetZone(), Region: c.GetRegion(),
 		Incarnation: c.GetIncarnation(), Epoch: c.GetEpoch(), State: wqmember.State(c.GetState()),
-		Revision: c.GetRevision(), Isolated: c.GetIsolated(),
+		Revision: c.GetRevision(), Isolated: c.GetIsolated(), Capacity: int(c.GetCapacity()),
 	}, nil
 }
 
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -73,6 +73,8 @@
 	ahead     ahead
 	asked     uint64 // asked is the revision of a peer that was asked last.
 	turn      *turn
+	hubs      []*wqdirectory.Target
+	isHub     bool
 	startedAt time.Time
 	// watchersAt is the version of the member list that the watchers were chosen
 	// from, once chosen is true.
@@ -190,6 +192,7 @@
 	pools, next := k.directory.Pools(now)
 	k.plan.Store(&wqplan.Plan{
 		Table: k.table, Pools: pools, Fleet: max(k.fleet, 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
+		Hubs: k.hubs, IsHub: k.isHub,
 	})
 	k.poolsTo, k.dirty = next, false
 	k.Changed()
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -123,7 +123,7 @@
 
 // beats sends the heartbeats that are due and returns when the next ones are.
 func (k *Keeper) beats(now time.Time) time.Time {
-	k.chooseWatchers(now)
+	k.chooseRoles(now)
 	if k.crowd {
 		k.members.SetRevision(now, k.told) // Tells the neighbours at once.
 	} else {
--- a/io/wqkeeper/watch.go
+++ b/io/wqkeeper/watch.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"wisteriaquay/core/wqconfig"
+	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqhub"
 	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqtopology"
 )
 
 const (
@@ -57,9 +60,9 @@
 	}
 }
 
-// chooseWatchers works out who reads the store. A VM that hears nobody does so
-// itself.
-func (k *Keeper) chooseWatchers(now time.Time) {
+// chooseRoles works out who reads the store and who runs fan-outs. A VM that
+// hears nobody does both itself.
+func (k *Keeper) chooseRoles(now time.Time) {
 	if now.Before(k.startedAt.Add(joinTime)) {
 		return
 	}
@@ -69,6 +72,7 @@
 	}
 	k.watchersAt, k.chosen, k.alone = k.members.Version(), true, alone
 	live := k.live()
+	k.chooseHubs(live)
 	policy := wqconfig.PerZone{Count: watchersPerZone}
 	watches := alone || policy.Watches(k.members.Self, live)
 	k.crowd = false
@@ -82,11 +86,26 @@
 	k.turn.set(watches)
 }
 
-// live returns the VMs that answer, this one included.
+// chooseHubs works out which VMs run fan-outs.
+func (k *Keeper) chooseHubs(live []wqmember.Member) {
+	chosen := wqhub.DefaultPolicy().Choose(live)
+	hubs := make([]*wqdirectory.Target, 0, len(chosen))
+	isHub := false
+	for _, m := range chosen {
+		isHub = isHub || m.ID == k.members.Self.ID
+		hubs = append(hubs, &wqdirectory.Target{Searcher: wqtopology.Searcher{ID: m.ID, Address: m.Address, Zone: m.Zone, Slots: m.Capacity}})
+	}
+	if isHub != k.isHub || len(hubs) != len(k.hubs) {
+		k.Log.Info("running fan-outs", "hubs", len(hubs), "is_hub", isHub, "live", len(live))
+	}
+	k.hubs, k.isHub, k.dirty = hubs, isHub, true
+}
+
+// live returns the VMs that answer and stay, this one included.
 func (k *Keeper) live() []wqmember.Member {
 	var live []wqmember.Member
 	for _, m := range k.members.Members() {
-		if m.State == wqmember.Alive || m.ID == k.members.Self.ID {
+		if m.State == wqmember.Alive || m.ID == k.members.Self.ID && !k.stopping {
 			live = append(live, m)
 		}
 	}
--- a/io/wqpeer/client.go
+++ b/io/wqpeer/client.go
@@ -17,6 +17,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -42,7 +43,10 @@
 	Pool   *wqdial.Pool
 	Keeper *wqkeeper.Keeper
 	HTTP   *http.Client
+	Zone   string // Zone is this VM's own.
 	Log    *slog.Logger
+
+	heard sync.Map // heard holds when each hub answered last, by id.
 }
 
 // items is a batch on the wire between VMs.
--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"strconv"
 
+	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqheartbeat"
 	"wisteriaquay/io/wqkeeper"
 	"wisteriaquay/io/wqpb"
@@ -16,6 +18,8 @@
 // Handler answers the other VMs. Set the exported fields before Routes.
 type Handler struct {
 	Keeper *wqkeeper.Keeper
+	// Run answers a request whose route another VM has chosen.
+	Run func(ctx context.Context, c *wqcall.Call, route *wqroute.Route) wqcall.Reply
 }
 
 // Routes returns the handler of the peer listener.
@@ -24,6 +28,8 @@
 	peers := wqpb.NewPeerServiceServer(service{h.Keeper})
 	mux.Handle(peers.PathPrefix(), http.MaxBytesHandler(peers, wqheartbeat.MaxBytes))
 	mux.HandleFunc("GET "+itemsPath, h.items)
+	mux.HandleFunc("POST "+fanPath, h.fan)
+	mux.HandleFunc("GET "+fanPath, func(http.ResponseWriter, *http.Request) {}) // Says that this VM is there.
 	return mux
 }
 
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -54,6 +55,7 @@
 	Zone      string // Zone is this VM's own.
 	Allowance *wqallowance.Allowance
 	Misplaced func(t *wqdirectory.Target) // Misplaced is told when another searcher is at a target's address.
+	Hubs      Hubs
 	Metrics   *wqmetric.Metrics
 	Log       *slog.Logger
 
@@ -89,14 +91,29 @@
 	if !route.FanOut() {
 		services = []string{r.split.Next(route)}
 	}
-	for _, s := range services {
-		r.Allowance.Request(c.Arrived, s)
+	if _, own := plan.Sharers(); route.FanOut() && !own {
+		return r.viaHub(ctx, c, plan, route)
 	}
 	return r.run(ctx, c, plan, route, services)
 }
 
+// Run answers a request whose route another VM has chosen.
+func (r *Relay[S]) Run(ctx context.Context, c *wqcall.Call, route *wqroute.Route) wqcall.Reply {
+	plan := r.Plan()
+	reply := r.run(ctx, c, plan, route, route.Shards)
+	r.record(c, plan, route, &reply)
+	return reply
+}
+
 // run drives one request to its end.
 func (r *Relay[S]) run(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route, services []string) wqcall.Reply {
+	for _, s := range services {
+		r.Allowance.Request(c.Arrived, s)
+	}
+	sharers, own := plan.Fleet, true
+	if route.FanOut() {
+		sharers, own = plan.Sharers()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	pace := r.paces.Pace(route.Name, route.Objective)
@@ -106,7 +123,7 @@
 		gather: &wqgather.Gather[wqpulse.Soonest, patience]{
 			Route: route, Services: services, Random: rand.Uint64,
 			Picker:   wqpulse.Soonest{Board: r.Board, Zone: r.Zone},
-			Patience: patience{Pace: pace, allowance: r.Allowance, fleet: plan.Fleet},
+			Patience: patience{Pace: pace, allowance: r.Allowance, sharers: sharers, own: own},
 			Deadline: c.Arrived.Add(allowed(c, route)),
 		},
 	}
@@ -129,10 +146,14 @@
 type patience struct {
 	*wqpace.Pace
 	allowance *wqallowance.Allowance
-	fleet     int
+	sharers   int  // sharers is how many VMs share the slack of the budget.
+	own       bool // own is true when this VM is one of them.
 }
 
 // Spend takes one extra send to a service from the budget, if it allows it.
 func (p patience) Spend(now time.Time, service string) bool {
-	return p.allowance.Spend(now, service, p.fleet)
+	if !p.own {
+		return p.allowance.Spend(now, service, math.MaxInt32)
+	}
+	return p.allowance.Spend(now, service, p.sharers)
 }
