Read the store sooner after a restart; finish other VMs' fan-outs at a stop

A hub that stopped cut the fan-outs that it ran for others. Change: 120 ms unless the fleet starts for the first time; callers come back after 1 s where no configuration is known; the stop waits for fan-outs of other VMs.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -40,7 +41,10 @@
 	storeTimeout = time.Second            // storeTimeout bounds a call to the store beyond a watch's wait; an answer takes 4 ms, or 240 ms when it is slow.
 	watchWait    = 4 * time.Second        // watchWait bounds how long a watch that fell silent goes unnoticed.
 	watchRest    = 150 * time.Millisecond // watchRest joins changes that come together; they are due within seconds.
-	firstBody    = 1 << 20                // firstBody bounds a body before the configuration is known, in bytes.
+	// firstJoinTime is how long VMs look for each other when the whole fleet
+	// starts for the first time, within 0.3 s.
+	firstJoinTime = 500 * time.Millisecond
+	firstBody     = 1 << 20 // firstBody bounds a body before the configuration is known, in bytes.
 )
 
 // Host is one VM. Set the exported fields before Run.
@@ -54,6 +58,8 @@
 	metrics *wqmetric.Metrics
 	front   *wqfront.Front
 	client  *wqtarget.Client
+	// forPeers counts the fan-outs in progress for other VMs.
+	forPeers atomic.Int64
 }
 
 // Run serves until ctx ends, and then stops in order.
@@ -61,6 +67,9 @@
 	h.metrics = wqmetric.New()
 	h.keeper = wqkeeper.New(h.self(), wqitem.Decode)
 	h.keeper.Log = h.Log
+	if h.Settings.FirstStart {
+		h.keeper.JoinTime = firstJoinTime
+	}
 	pool, closePool := wqdial.New(wqdial.Settings{Connections: 1, DialTimeout: peerConnect})
 	defer closePool()
 	peers := &wqpeer.Client{Pool: pool, Keeper: h.keeper, HTTP: &http.Client{Transport: quickTransport()}, Zone: h.Settings.Zone, Log: h.Log}
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -10,7 +10,9 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 
+	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqdrain"
+	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqpeer"
 	"wisteriaquay/io/wqstop"
 )
@@ -60,7 +62,7 @@
 		protocols := new(http.Protocols)
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
-		peers := &http.Server{Handler: (&wqpeer.Handler{Keeper: h.keeper, Run: h.relay.Run}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		peers := &http.Server{Handler: (&wqpeer.Handler{Keeper: h.keeper, Run: h.runForPeer}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
 		servers = append(servers, func() error { return peers.Serve(l) })
 	}
 	serveAll(ctx, servers...)
@@ -82,7 +84,9 @@
 func (h *Host) stop(ctx context.Context) error {
 	s := &wqstop.Stopper{
 		Drain: &wqdrain.Drain{BalancerLag: balancerLag, Limit: h.Settings.StopLimit - stopMargin, Reserve: closeTime},
-		Work:  func() wqdrain.Work { return wqdrain.Work{Requests: h.front.Active()} },
+		Work: func() wqdrain.Work {
+			return wqdrain.Work{Requests: h.front.Active(), Sends: int(h.forPeers.Load())}
+		},
 		Enter: func(ctx context.Context, p wqdrain.Phase) {
 			if p == wqdrain.Finishing {
 				if err := h.front.Stop(ctx); err != nil {
@@ -94,6 +98,13 @@
 	return s.Run(ctx)
 }
 
+// runForPeer runs a fan-out for another VM.
+func (h *Host) runForPeer(ctx context.Context, c *wqcall.Call, route *wqroute.Route) wqcall.Reply {
+	h.forPeers.Add(1)
+	defer h.forPeers.Add(-1)
+	return h.relay.Run(ctx, c, route)
+}
+
 func open(ctx context.Context, name, address string) (net.Listener, error) {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	return l, eris.Wrapf(err, "listen for %s on %s; free the port or change the setting", name, address)
--- a/core/wqadvice/advice.go
+++ b/core/wqadvice/advice.go
@@ -8,9 +8,10 @@
 import "time"
 
 const (
-	// Starting is for a VM that has no configuration yet; it comes within a
-	// second of the store's return, and another VM may have it already.
-	Starting = 300 * time.Millisecond
+	// Starting is for a VM that has no configuration yet: the store's outage may
+	// last, and a caller has few attempts. Callers wait a third of their time at
+	// most, so that a longer advice only spreads their attempts.
+	Starting = time.Second
 	// Full is for a request that no searcher could take: long enough for a queue
 	// to move on, short enough to be served within the objective.
 	Full = 100 * time.Millisecond
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -56,10 +56,11 @@
 
 // Keeper owns the control state. Set the exported fields before Run.
 type Keeper struct {
-	Decode  func(wqmirror.Item) wqchange.Change
-	Peers   Peers
-	Changed func() // Changed is called after each new plan.
-	Log     *slog.Logger
+	Decode   func(wqmirror.Item) wqchange.Change
+	Peers    Peers
+	JoinTime time.Duration // JoinTime is how long this VM looks for others before it reads the store itself.
+	Changed  func()        // Changed is called after each new plan.
+	Log      *slog.Logger
 
 	loop      *wqloop.Loop[message]
 	plan      atomic.Pointer[wqplan.Plan]
@@ -95,6 +96,7 @@
 	k := &Keeper{
 		Decode:    decode,
 		Peers:     nobody{},
+		JoinTime:  joinTime,
 		Changed:   func() {},
 		members:   &wqmember.Machine{Self: self, Random: random, Timing: wqmember.DefaultTiming()},
 		Log:       slog.New(slog.DiscardHandler),
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -139,7 +139,7 @@
 	}
 	next := k.members.Next()
 	if !k.chosen {
-		next = earlier(next, k.startedAt.Add(joinTime))
+		next = earlier(next, k.startedAt.Add(k.JoinTime))
 	}
 	if due := k.ahead.since.Add(k.patience()); k.ahead.member.Revision > k.mirror.AsOf() && due.Before(next) {
 		return due
--- a/io/wqkeeper/watch.go
+++ b/io/wqkeeper/watch.go
@@ -17,9 +17,9 @@
 	// the others. Three zones with a third of their VMs refused by the store are
 	// left without one in 1 of 10,000 cases.
 	watchersPerZone = 3
-	// joinTime is how long a VM looks for others after its start before it takes
-	// itself for one of the few that read the store.
-	joinTime = 500 * time.Millisecond
+	// joinTime is how long a VM that starts beside others looks for them before it
+	// takes itself for one of the few that read the store.
+	joinTime = 120 * time.Millisecond
 	// aloneAfter is how long no peer has answered when a VM takes itself for cut
 	// off from the others: three heartbeats. It then reads the store itself.
 	aloneAfter = 1600 * time.Millisecond
@@ -63,7 +63,7 @@
 // chooseRoles works out who reads the store and who runs fan-outs. A VM that
 // hears nobody does both itself.
 func (k *Keeper) chooseRoles(now time.Time) {
-	if now.Before(k.startedAt.Add(joinTime)) {
+	if now.Before(k.startedAt.Add(k.JoinTime)) {
 		return
 	}
 	alone := wqmember.Elapsed(k.members.FreshAt(), now) > aloneAfter
