--- a/core/wqpulse/soonest.go
+++ b/core/wqpulse/soonest.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	farCost      = 3 * time.Millisecond   // farCost is how much sooner another zone must answer to be preferred: its bytes cost money.
+	farCost      = 9 * time.Millisecond   // farCost is how much sooner another zone must answer to be preferred: its bytes cost money.
 	coldFactor   = 1.5                    // coldFactor is how much slower a searcher is in its cold start.
 	doubtCost    = 10 * time.Second       // doubtCost keeps leaving searchers for when there is no other.
 	silentAfter  = 600 * time.Millisecond // silentAfter is the age of a request after which its searcher counts as silent; usual pauses are 250 ms.
