--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -11,6 +11,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,8 @@
 // Host is one VM. Set the exported fields before Run.
 type Host struct {
 	Settings    *wqboot.Settings
+	File        string           // File is where the settings came from; it is read again when it changes.
+	Hangups     <-chan os.Signal // Hangups asks for that at once.
 	MetricsPort int // MetricsPort is where metrics are served; 0 serves none.
 	Log         *slog.Logger
 
@@ -86,6 +89,7 @@
 	go h.keeper.Run(running)
 	h.keeper.Seed(running, h.Settings.Seeds)
 	go h.followStore(running)
+	go h.reload(running)
 	stop, err := h.listen(running)
 	if err != nil {
 		return err
--- a/test/tier/path_test.go
+++ b/test/tier/path_test.go
@@ -200,4 +200,5 @@
 	f.VMs[0].Signal(syscall.SIGHUP)
 	time.Sleep(300 * time.Millisecond)
 	must.Eq(t, http.StatusOK, f.Ask(f.VMs[0], http.MethodGet, "/one/x", "", time.Second).Code)
+	must.StrContains(t, f.VMs[0].Log(), "settings reloaded")
 }
