--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -53,7 +53,7 @@
 	Settings    *wqboot.Settings
 	File        string           // File is where the settings came from; it is read again when it changes.
 	Hangups     <-chan os.Signal // Hangups asks for that at once.
-	MetricsPort int // MetricsPort is where metrics are served; 0 serves none.
+	MetricsPort int              // MetricsPort is where metrics are served; 0 serves none.
 	Log         *slog.Logger
 
 	keeper  *wqkeeper.Keeper
--- /dev/null
+++ b/test/soak/step_test.go
@@ -0,0 +1,130 @@
+package soak_test
+
+import (
+	"syscall"
+	"time"
+
+	"wisteriaquay/test/wqplatform"
+)
+
+// step does one random thing, with the faults before it still there.
+func (s *soak) step() {
+	vm := s.VMs[s.random.IntN(len(s.VMs))]
+	all := s.All()
+	searcher := all[s.random.IntN(len(all))]
+	things := []func(*wqplatform.VM, *wqplatform.Searcher){
+		s.stopOrKill, s.freeze, s.cutStore, s.storeTrouble, s.misbehave, s.cutSearcher, s.leave, s.zone, s.reshard,
+		func(*wqplatform.VM, *wqplatform.Searcher) { s.publish() },
+		func(vm *wqplatform.VM, _ *wqplatform.Searcher) {
+			vm.Signal(syscall.SIGHUP)
+			s.note("SIGHUP %s", vm.Name)
+		},
+	}
+	things[s.random.IntN(len(things))](vm, searcher)
+}
+
+// stopOrKill ends a VM, and starts one that is down.
+func (s *soak) stopOrKill(vm *wqplatform.VM, _ *wqplatform.Searcher) {
+	if !vm.Running() {
+		vm.Start()
+		delete(s.ending, vm)
+		s.note("start %s", vm.Name)
+		return
+	}
+	signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[s.random.IntN(2)]
+	vm.Signal(signal)
+	s.ending[vm] = true
+	s.note("%s %s", signal, vm.Name)
+}
+
+func (s *soak) freeze(vm *wqplatform.VM, _ *wqplatform.Searcher) {
+	vm.Signal([]syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT}[s.random.IntN(2)])
+	s.note("freeze or thaw %s", vm.Name)
+}
+
+func (s *soak) cutStore(vm *wqplatform.VM, _ *wqplatform.Searcher) {
+	switch s.random.IntN(5) {
+	case 0:
+		vm.Store.Heal()
+		vm.Store.Cut()
+	case 1:
+		vm.Store.Swallow()
+	case 2:
+		vm.Store.Delay(300, 200)
+	case 3:
+		vm.Store.LoseReplies(0)
+	case 4:
+		vm.Store.Heal()
+	}
+	s.note("store route of %s", vm.Name)
+}
+
+func (s *soak) storeTrouble(*wqplatform.VM, *wqplatform.Searcher) {
+	switch s.random.IntN(3) {
+	case 0:
+		s.Store.SetDown(true)
+	case 1:
+		s.Store.SetDown(false)
+	case 2:
+		s.Store.Forget()
+	}
+	s.note("store")
+}
+
+func (s *soak) misbehave(_ *wqplatform.VM, searcher *wqplatform.Searcher) {
+	b := []wqplatform.Behaviour{
+		{}, {Shed: true}, {Lose: true}, {Twice: true}, {Truncate: true}, {Hang: true}, {Fail: true}, {Work: 300 * time.Millisecond},
+	}[s.random.IntN(8)]
+	searcher.Behave(b)
+	s.note("%s behaves as %+v", searcher.ID, b)
+}
+
+func (s *soak) cutSearcher(_ *wqplatform.VM, searcher *wqplatform.Searcher) {
+	switch s.random.IntN(4) {
+	case 0:
+		searcher.Wire.Swallow()
+	case 1:
+		searcher.Wire.LoseReplies(5)
+	case 2:
+		searcher.Wire.Delay(100, 100)
+	case 3:
+		searcher.Wire.Heal()
+	}
+	s.note("route to %s", searcher.ID)
+}
+
+// leave has a searcher drain; another one of its service starts first.
+func (s *soak) leave(_ *wqplatform.VM, searcher *wqplatform.Searcher) {
+	if _, gone := s.left[searcher]; gone {
+		return
+	}
+	s.AddSearcher(searcher.Service, searcher.Zone)
+	s.states[searcher]++
+	s.Register(searcher, "draining", 1+s.states[searcher])
+	s.left[searcher] = time.Now()
+	s.note("%s leaves", searcher.ID)
+}
+
+func (s *soak) zone(*wqplatform.VM, *wqplatform.Searcher) {
+	if s.random.IntN(2) == 0 {
+		s.Store.Put("op/evacuate/a", struct{}{})
+	} else {
+		s.Store.Remove("op/evacuate/a")
+	}
+	s.note("zone a out or back")
+}
+
+// reshard cuts the index anew: the next searchers start, then a version names
+// them.
+func (s *soak) reshard(*wqplatform.VM, *wqplatform.Searcher) {
+	cut := len(s.sets) + 1
+	s.set = wqplatform.Shards(cut, 3+s.random.IntN(4))
+	s.sets = append(s.sets, s.set)
+	for _, shard := range s.set {
+		s.AddSearcher(shard, "a")
+		s.AddSearcher(shard, "b")
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.publish()
+	s.note("cut %d with %d shards", cut, len(s.set))
+}
--- a/test/wqplatform/fleet.go
+++ b/test/wqplatform/fleet.go
@@ -89,10 +89,13 @@
 // ShardName names one shard of a cut of the index.
 func ShardName(cut, i int) string { return fmt.Sprintf("cut%d-%02d", cut, i) }
 
-// AddSearcher starts and registers a searcher.
+// AddSearcher starts and registers a searcher, behind a wire.
 func (f *Fleet) AddSearcher(service, zone string) *Searcher {
 	s := newSearcher(fmt.Sprintf("i-%s-%d", service, f.numbers.Add(1)), service, zone)
 	f.t.Cleanup(s.server.Close)
+	wire, release := wqwire.New(f.t, s.Address)
+	f.t.Cleanup(release)
+	s.Wire, s.Address = wire, wire.Address()
 	f.mutex.Lock()
 	f.Searchers = append(f.Searchers, s)
 	f.mutex.Unlock()
@@ -128,6 +131,20 @@
 	return out
 }
 
+// All returns all searchers.
+func (f *Fleet) All() []*Searcher {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.Searchers)
+}
+
+// Replies counts what callers got.
+func (f *Fleet) Replies() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.replies)
+}
+
 func (f *Fleet) addVM(i int, controls []string) {
 	wire, release := wqwire.New(f.t, strings.TrimPrefix(f.Store.URL, "http://"))
 	f.t.Cleanup(release)
@@ -202,6 +219,16 @@
 // Ended is closed when the process has ended.
 func (vm *VM) Ended() <-chan struct{} { return vm.ended }
 
+// Running reports whether the process runs.
+func (vm *VM) Running() bool {
+	select {
+	case <-vm.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 // Log returns what the process has written.
 func (vm *VM) Log() string {
 	text, err := os.ReadFile(vm.config + ".log")
--- a/test/wqplatform/searcher.go
+++ b/test/wqplatform/searcher.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"wisteriaquay/test/wqwire"
 )
 
 // recordsPerPart is how many records a searcher's part has.
@@ -42,6 +44,7 @@
 	Zone    string
 	Address string
 	Born    int64
+	Wire    *wqwire.Wire // Wire is the route to it.
 
 	mutex     sync.Mutex
 	behaviour Behaviour
