--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -276,6 +276,15 @@
 	return b
 }
 
+// Waits returns the searchers that a service's answer is awaited from.
+func (g *Gather[P, H]) Waits(i int) []string {
+	ids := make([]string, 0, len(g.shards[i].flights))
+	for _, f := range g.shards[i].flights {
+		ids = append(ids, f.target.Searcher.ID)
+	}
+	return ids
+}
+
 // Drop forgets the sends to a service that are still out and returns their
 // numbers, so that they can be cancelled.
 func (g *Gather[P, H]) Drop(i int) []int {
--- /dev/null
+++ b/core/wqpace/pace_test.go
@@ -0,0 +1,31 @@
+package wqpace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqpace"
+)
+
+func TestSecondSendIsInTimeForTheObjective(t *testing.T) {
+	p := wqpace.New(200 * time.Millisecond)
+	must.Eq(t, 90*time.Millisecond, p.Delay(), must.Sprint("before anything is known"))
+	now := time.Unix(1000, 0)
+	for i := range 2000 {
+		p.Observe(now.Add(time.Duration(i)*time.Millisecond), 20*time.Millisecond)
+	}
+	must.Between(t, 20*time.Millisecond, p.Delay(), 40*time.Millisecond)
+	must.Between(t, 18*time.Millisecond, p.Typical(), 22*time.Millisecond)
+	for i := range 2000 {
+		p.Observe(now.Add(time.Duration(2000+i)*time.Millisecond), time.Second)
+	}
+	must.Eq(t, 90*time.Millisecond, p.Delay(), must.Sprint("later it would be of no use"))
+}
+
+func TestBookKeepsOnePaceForEachRoute(t *testing.T) {
+	var b wqpace.Book
+	must.True(t, b.Pace("r", time.Second) == b.Pace("r", time.Second))
+	must.False(t, b.Pace("r", time.Second) == b.Pace("s", time.Second))
+}
--- /dev/null
+++ b/core/wqpulse/soonest_test.go
@@ -0,0 +1,81 @@
+package wqpulse_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqpulse"
+	"wisteriaquay/core/wqsend"
+	"wisteriaquay/core/wqtopology"
+)
+
+const (
+	typical = 30 * time.Millisecond
+	even    = 0x8080808080808080 // even is a random number that adds no noise.
+)
+
+var now = time.Unix(1000, 0)
+
+func targets(zones ...string) []*wqdirectory.Target {
+	var out []*wqdirectory.Target
+	for i, z := range zones {
+		out = append(out, &wqdirectory.Target{Searcher: wqtopology.Searcher{ID: string(rune('x' + i)), Zone: z, Slots: 3}})
+	}
+	return out
+}
+
+func pick(b *wqpulse.Board, at time.Time, from []*wqdirectory.Target, tried ...string) string {
+	t := wqpulse.Soonest{Board: b, Zone: "a"}.Pick(at, from, tried, typical, even)
+	if t == nil {
+		return ""
+	}
+	return t.Searcher.ID
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	must.Eq(t, "y", pick(wqpulse.New(), now, targets("b", "a")))
+	must.Eq(t, "x", pick(wqpulse.New(), now, targets("b", "a"), "y"))
+	must.Eq(t, "", pick(wqpulse.New(), now, targets("b", "a"), "x", "y"))
+}
+
+// A searcher that stops for a moment is seen by the age of its oldest request
+// before any answer says so.
+func TestPausedSearcherIsAvoidedBeforeItAnswers(t *testing.T) {
+	b := wqpulse.New()
+	b.Sent(now, "x")
+	b.Sent(now, "y")
+	must.Eq(t, "x", pick(b, now.Add(20*time.Millisecond), targets("a", "a")), must.Sprint("requests out are no pause"))
+	b.Sent(now.Add(110*time.Millisecond), "z")
+	must.Eq(t, "z", pick(b, now.Add(120*time.Millisecond), targets("a", "a", "a")))
+	must.True(t, wqpulse.Soonest{Board: b}.Silent(now.Add(700*time.Millisecond), "x"))
+	must.False(t, wqpulse.Soonest{Board: b}.Silent(now.Add(250*time.Millisecond), "x"))
+}
+
+func TestSlowSearcherIsAvoidedAndTriedAgainLater(t *testing.T) {
+	b := wqpulse.New()
+	for range 3 {
+		b.Sent(now, "x").Done(now.Add(8*typical), wqsend.Answered, typical)
+	}
+	must.Eq(t, "y", pick(b, now.Add(time.Second), targets("a", "b")))
+	must.Eq(t, "x", pick(b, now.Add(20*time.Second), targets("a", "b")))
+}
+
+func TestFailingSearcherRestsLongerEachTime(t *testing.T) {
+	b := wqpulse.New()
+	for range 5 {
+		b.Sent(now, "x").Done(now, wqsend.Unreachable, typical)
+	}
+	must.Eq(t, "y", pick(b, now.Add(1800*time.Millisecond), targets("a", "b")))
+	b.Sent(now, "x").Done(now, wqsend.Answered, typical)
+	must.Eq(t, "x", pick(b, now.Add(time.Millisecond), targets("a", "b")))
+}
+
+func TestLeavingSearcherIsTheLastResort(t *testing.T) {
+	from := targets("a", "b")
+	from[0].Doubtful = true
+	must.Eq(t, "y", pick(wqpulse.New(), now, from))
+	must.Eq(t, "x", pick(wqpulse.New(), now, from, "y"))
+}
--- /dev/null
+++ b/io/wqfront/front_test.go
@@ -0,0 +1,84 @@
+package wqfront_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/io/wqfront"
+)
+
+func start(t *testing.T, limits func() wqfront.Limits, h http.HandlerFunc) (*wqfront.Front, string) {
+	f := &wqfront.Front{Handler: h, Limits: limits, Log: slog.New(slog.DiscardHandler)}
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = f.Serve(l) }()
+	t.Cleanup(func() { _ = f.Stop(context.Background()) })
+	return f, l.Addr().String()
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	must.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func get(t *testing.T, c net.Conn, r *bufio.Reader) error {
+	t.Helper()
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	response, err := http.ReadResponse(r, nil)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	return err
+}
+
+func TestIdleLimitMayChangeWhileConnectionsAreOpen(t *testing.T) {
+	var idle atomic.Int64
+	idle.Store(int64(time.Hour))
+	_, address := start(t, func() wqfront.Limits { return wqfront.Limits{Idle: time.Duration(idle.Load())} }, func(http.ResponseWriter, *http.Request) {})
+	c, r := dial(t, address)
+	must.NoError(t, get(t, c, r))
+	time.Sleep(400 * time.Millisecond)
+	must.NoError(t, get(t, c, r))
+	idle.Store(int64(time.Millisecond))
+	_, err := r.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
+
+func TestSlowHeaderIsCutAndSlowAnswerIsNot(t *testing.T) {
+	limits := func() wqfront.Limits { return wqfront.Limits{Header: 300 * time.Millisecond, Idle: time.Hour} }
+	_, address := start(t, limits, func(http.ResponseWriter, *http.Request) { time.Sleep(800 * time.Millisecond) })
+	c, r := dial(t, address)
+	must.NoError(t, get(t, c, r))
+	_, err := io.WriteString(c, "GET / HT")
+	must.NoError(t, err)
+	_, err = r.ReadByte()
+	must.Error(t, err)
+}
+
+func TestStopLetsRequestsFinish(t *testing.T) {
+	begun := make(chan struct{})
+	f, address := start(t, func() wqfront.Limits { return wqfront.Limits{} }, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		time.Sleep(300 * time.Millisecond)
+	})
+	c, r := dial(t, address)
+	ended := make(chan error, 1)
+	go func() { ended <- get(t, c, r) }()
+	<-begun
+	must.Eq(t, 1, f.Active())
+	must.NoError(t, f.Stop(t.Context()))
+	must.NoError(t, <-ended)
+}
--- /dev/null
+++ b/io/wqrelay/relay_test.go
@@ -0,0 +1,132 @@
+package wqrelay_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqallowance"
+	"wisteriaquay/core/wqcall"
+	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqplan"
+	"wisteriaquay/core/wqpulse"
+	"wisteriaquay/core/wqroute"
+	"wisteriaquay/core/wqsend"
+	"wisteriaquay/core/wqtopology"
+	"wisteriaquay/io/wqrelay"
+)
+
+// sender answers every send, or holds it until its context ends.
+type sender struct {
+	sends     *atomic.Int64
+	cancelled *atomic.Int64
+	hold      bool
+}
+
+func (s sender) Send(ctx context.Context, t *wqdirectory.Target, _ *wqcall.Call, _ time.Duration) wqsend.Result {
+	s.sends.Add(1)
+	if s.hold {
+		<-ctx.Done()
+		s.cancelled.Add(1)
+		return wqsend.Result{Outcome: wqsend.Withdrawn}
+	}
+	return wqsend.Result{Outcome: wqsend.Answered, Code: 200, Stamp: t.Searcher.ID, Body: []byte("0123456789abcdef")}
+}
+
+// hubs answers each hub's calls with the given error, by id.
+type hubs map[string]error
+
+func (h hubs) Fan(_ context.Context, hub *wqdirectory.Target, _ *wqcall.Call, _ *wqroute.Route) (wqcall.Reply, error) {
+	return wqcall.Reply{Status: wqcall.Answered, Stamps: []string{hub.Searcher.ID}}, h[hub.Searcher.ID]
+}
+
+func target(id, zone string) *wqdirectory.Target {
+	return &wqdirectory.Target{Searcher: wqtopology.Searcher{ID: id, Zone: zone, Slots: 3}}
+}
+
+func newRelay(s sender, h hubs) (*wqrelay.Relay[sender], *wqplan.Plan) {
+	routes := []wqroute.Route{
+		{Name: "all", Host: "h", Prefix: "/all/", Idempotent: true, Shards: []string{"s1", "s2"}, Top: 5, LeastShare: 0.5, Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond},
+		{Name: "one", Host: "h", Prefix: "/one/", Idempotent: true, Parts: []wqroute.Part{{Service: "s1", Weight: 1}}, Attempts: 2, Timeout: time.Second},
+	}
+	plan := &wqplan.Plan{
+		Table: wqroute.NewTable(1, routes, nil, wqroute.Limits{BodyBytes: 100}), Fleet: 14,
+		Pools: wqdirectory.Pools{"s1": {target("x", "a")}, "s2": {target("y", "a")}},
+	}
+	return &wqrelay.Relay[sender]{
+		Plan: func() *wqplan.Plan { return plan }, Sender: s, Board: wqpulse.New(), Zone: "a", Hubs: h,
+		Allowance: wqallowance.New(wqallowance.Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, time.Now()),
+		Log:       slog.New(slog.DiscardHandler),
+	}, plan
+}
+
+func call(path string) *wqcall.Call {
+	return &wqcall.Call{ID: "q", Method: "GET", Host: "h", Path: path, Arrived: time.Now(), Wait: time.Second}
+}
+
+func newSender(hold bool) sender {
+	return sender{sends: new(atomic.Int64), cancelled: new(atomic.Int64), hold: hold}
+}
+
+func TestNoConfigurationIsRefusedAsNotRun(t *testing.T) {
+	r, _ := newRelay(newSender(false), nil)
+	r.Plan = func() *wqplan.Plan { return &wqplan.Plan{} }
+	reply := r.Serve(t.Context(), call("/all/x"))
+	must.Eq(t, wqcall.NotRun, reply.Status)
+	must.Positive(t, reply.RetryAfter)
+}
+
+func TestFanOutMergesThePartsNamed(t *testing.T) {
+	s := newSender(false)
+	r, _ := newRelay(s, nil)
+	reply := r.Serve(t.Context(), call("/all/x"))
+	must.Eq(t, wqcall.Answered, reply.Status)
+	must.SliceContainsAll(t, []string{"x", "y"}, reply.Stamps)
+	must.Eq(t, 32, len(reply.Body))
+	must.Eq(t, 0, reply.Missing)
+}
+
+func TestSendsEndWhenTheCallerLeaves(t *testing.T) {
+	s := newSender(true)
+	r, _ := newRelay(s, nil)
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, leave)
+	must.Eq(t, wqcall.CallerGone, r.Serve(ctx, call("/all/x")).Status)
+	time.Sleep(50 * time.Millisecond)
+	must.Eq(t, s.sends.Load(), s.cancelled.Load())
+}
+
+func TestFanOutGoesThroughAHubOfTheOwnZone(t *testing.T) {
+	s := newSender(false)
+	r, plan := newRelay(s, hubs{})
+	plan.Hubs = []*wqdirectory.Target{target("far", "b"), target("near", "a")}
+	must.Eq(t, []string{"near"}, r.Serve(t.Context(), call("/all/x")).Stamps)
+	must.Eq(t, 0, s.sends.Load())
+	must.Eq(t, wqcall.Answered, r.Serve(t.Context(), call("/one/x")).Status)
+	must.Eq(t, 1, s.sends.Load(), must.Sprint("requests to one searcher need no hub"))
+}
+
+func TestHubThatTakesNothingIsReplaced(t *testing.T) {
+	s := newSender(false)
+	r, plan := newRelay(s, hubs{"near": wqrelay.ErrNotTaken})
+	plan.Hubs = []*wqdirectory.Target{target("far", "b"), target("near", "a")}
+	must.Eq(t, []string{"far"}, r.Serve(t.Context(), call("/all/x")).Stamps)
+
+	r.Hubs = hubs{"near": wqrelay.ErrNotTaken, "far": wqrelay.ErrNotTaken}
+	must.SliceContainsAll(t, []string{"x", "y"}, r.Serve(t.Context(), call("/all/x")).Stamps)
+}
+
+// A hub that may have begun has used an unknown number of the attempts that a
+// route allows, so nobody else may begin.
+func TestRequestThatAHubMayHaveBegunIsNotBegunAgain(t *testing.T) {
+	s := newSender(false)
+	r, plan := newRelay(s, hubs{"near": errors.New("connection reset")})
+	plan.Hubs = []*wqdirectory.Target{target("far", "b"), target("near", "a")}
+	must.Eq(t, wqcall.Unavailable, r.Serve(t.Context(), call("/all/x")).Status)
+	must.Eq(t, 0, s.sends.Load())
+}
--- a/io/wqrelay/reply.go
+++ b/io/wqrelay/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 
 	"wisteriaquay/core/wqadvice"
 	"wisteriaquay/core/wqcall"
@@ -10,8 +11,10 @@
 	"wisteriaquay/core/wqsend"
 )
 
-// recordBytes is the size of one record in a part, in bytes.
-const recordBytes = 16
+const (
+	recordBytes = 16 // recordBytes is the size of one record in a part, in bytes.
+	mostNamed   = 3  // mostNamed bounds the services that one log line names.
+)
 
 // greatest orders records byte by byte, the greatest first.
 type greatest struct{}
@@ -68,11 +71,23 @@
 	return wqcall.Reply{Status: wqcall.Unavailable, Reason: d.reason("the searchers failed")}
 }
 
-// reason names the last failure of a service that has not answered.
+// reason says what became of the first services that have not answered: the last
+// failure, and the searchers whose answer was awaited.
 func (d *drive[S]) reason(what string) string {
-	for i := range d.gather.Results {
-		if r := &d.gather.Results[i]; !d.gather.Answered(i) && r.Reason != "" {
-			return what + "; " + d.gather.Services[i] + ": " + r.Reason
+	named := 0
+	for i, service := range d.gather.Services {
+		if d.gather.Answered(i) || named == mostNamed {
+			continue
+		}
+		named++
+		what += "; " + service + ":"
+		if r := d.gather.Results[i].Reason; r != "" {
+			what += " " + r
+		}
+		if waits := d.gather.Waits(i); len(waits) > 0 {
+			what += " waited for " + strings.Join(waits, " ")
+		} else if d.gather.Results[i].Reason == "" {
+			what += " no searcher"
 		}
 	}
 	return what
