Bound what cold searchers get, where a service states it

TestFleetSparesAColdSearcher checks every second of fleets of 1 to 30 VMs; without the gate it was red.

--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -48,6 +48,7 @@
 	Searcher  wqtopology.Searcher
 	Born      int64
 	ColdUntil time.Time // ColdUntil is when its cold start ends; zero when it is warm.
+	ColdRate  float64   // ColdRate is the requests a second that it bears while it is cold, over all VMs; 0 states no limit.
 	Doubtful  bool      // Doubtful targets leave, or their registration is gone; use them when there is no other.
 }
 
--- a/core/wqpace/pace_test.go
+++ b/core/wqpace/pace_test.go
@@ -26,6 +26,7 @@
 
 func TestBookKeepsOnePaceForEachRoute(t *testing.T) {
 	var b wqpace.Book
-	must.True(t, b.Pace("r", time.Second) == b.Pace("r", time.Second))
-	must.False(t, b.Pace("r", time.Second) == b.Pace("s", time.Second))
+	first := b.Pace("r", time.Second)
+	must.True(t, first == b.Pace("r", time.Second))
+	must.False(t, first == b.Pace("s", time.Second))
 }
--- a/core/wqpulse/board.go
+++ b/core/wqpulse/board.go
@@ -39,11 +39,14 @@
 
 // cell is what is known of one searcher.
 type cell struct {
-	flights  []*Flight // flights are the requests out, oldest first.
-	slowness float64   // slowness is the average time relative to the usual one, 1 when unknown.
-	seenAt   time.Time
-	failures int       // failures counts the failed sends since the last answer.
-	restsTo  time.Time // restsTo is until when failures avoid it.
+	flights   []*Flight // flights are the requests out, oldest first.
+	slowness  float64   // slowness is the average time relative to the usual one, 1 when unknown.
+	seenAt    time.Time
+	failures  int       // failures counts the failed sends since the last answer.
+	restsTo   time.Time // restsTo is until when failures avoid it.
+	coldTo    time.Time // coldTo is the end of the cold start that coldNext is about.
+	coldNext  time.Time // coldNext is when this VM may send it a request while it is cold.
+	coldEvery time.Duration
 }
 
 // Flight is one request that is out.
@@ -60,6 +63,14 @@
 func (b *Board) Sent(now time.Time, searcherID string) *Flight {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	c := b.cell(now, searcherID)
+	f := &Flight{board: b, cell: c, since: now}
+	c.flights = append(c.flights, f)
+	return f
+}
+
+// cell returns what is known of a searcher.
+func (b *Board) cell(now time.Time, searcherID string) *cell {
 	c := b.cells[searcherID]
 	if c == nil {
 		if len(b.cells) >= maxCells {
@@ -68,9 +79,7 @@
 		c = &cell{slowness: 1, seenAt: now}
 		b.cells[searcherID] = c
 	}
-	f := &Flight{board: b, cell: c, since: now}
-	c.flights = append(c.flights, f)
-	return f
+	return c
 }
 
 // Done notes how the request ended. Typical is the usual time of its route.
--- /dev/null
+++ b/core/wqpulse/cold_test.go
@@ -0,0 +1,60 @@
+package wqpulse_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqpulse"
+)
+
+// TestFleetSparesAColdSearcher has each VM of a fleet ask for a cold searcher all
+// the time and checks every second against the users' bound: the rate, half of it
+// more, and five.
+func TestFleetSparesAColdSearcher(t *testing.T) {
+	for _, rate := range []float64{2, 5, 20, 100} {
+		for _, fleet := range []int{1, 7, 8, 30} {
+			t.Run(fmt.Sprintf("%v a second, %d VMs", rate, fleet), func(t *testing.T) {
+				random := rand.New(rand.NewPCG(uint64(rate), uint64(fleet)))
+				from := targets("a")
+				from[0].ColdUntil, from[0].ColdRate = now.Add(10*time.Second), rate
+				vms := make([]wqpulse.Soonest, fleet)
+				for i := range vms {
+					vms[i] = wqpulse.Soonest{Board: wqpulse.New(), Zone: "a", Sharers: fleet}
+				}
+				const tick = 5 * time.Millisecond
+				sent := make([]int, 2000)
+				total := 0
+				for n := range sent {
+					for _, vm := range vms {
+						if vm.Pick(now.Add(time.Duration(n)*tick), from, nil, typical, random.Uint64()) != nil {
+							sent[n]++
+							total++
+						}
+					}
+				}
+				for n := range len(sent) - 200 {
+					sum := 0
+					for _, s := range sent[n : n+200] {
+						sum += s
+					}
+					must.LessEq(t, 1.5*rate+5, float64(sum))
+				}
+				must.GreaterEq(t, 4*rate, float64(total), must.Sprint("it gets warm by some requests"))
+				must.NotNil(t, vms[0].Pick(now.Add(11*time.Second), from, nil, typical, 1))
+			})
+		}
+	}
+}
+
+func TestNoStatedRateMeansNoGate(t *testing.T) {
+	from := targets("a")
+	from[0].ColdUntil = now.Add(time.Minute)
+	vm := wqpulse.Soonest{Board: wqpulse.New(), Zone: "a", Sharers: 8}
+	for range 100 {
+		must.NotNil(t, vm.Pick(now, from, nil, typical, 1))
+	}
+}
--- a/core/wqpulse/soonest.go
+++ b/core/wqpulse/soonest.go
@@ -17,8 +17,9 @@
 
 // Soonest picks the searcher that is expected to answer soonest.
 type Soonest struct {
-	Board *Board
-	Zone  string // Zone is this VM's own.
+	Board   *Board
+	Zone    string // Zone is this VM's own.
+	Sharers int    // Sharers is how many VMs send to the same searchers, this one included.
 }
 
 // Pick returns a target that is not among tried, nil when there is none.
@@ -29,7 +30,7 @@
 	var best *wqdirectory.Target
 	var least float64
 	for i, t := range targets {
-		if slices.Contains(tried, t.Searcher.ID) {
+		if slices.Contains(tried, t.Searcher.ID) || !s.bears(now, t, random) {
 			continue
 		}
 		noise := 1 + randomSpread*(float64((random>>(8*(i%8)))&0xff)/128-1)
@@ -38,6 +39,7 @@
 			best, least = t, cost
 		}
 	}
+	s.Board.takeCold(now, best)
 	return best
 }
 
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -192,6 +192,7 @@
 // publish makes the newest plan.
 func (k *Keeper) publish(now time.Time) {
 	pools, next := k.directory.Pools(now)
+	k.setColdRates(pools)
 	k.plan.Store(&wqplan.Plan{
 		Table: k.table, Pools: pools, Fleet: max(k.fleet, 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
 		Hubs: k.hubs, IsHub: k.isHub,
@@ -200,6 +201,18 @@
 	k.Changed()
 }
 
+// setColdRates tells each target what its service's searchers bear while cold.
+func (k *Keeper) setColdRates(pools wqdirectory.Pools) {
+	if k.table == nil {
+		return
+	}
+	for service, targets := range pools {
+		for _, t := range targets {
+			t.ColdRate = k.table.Services[service].ColdRate
+		}
+	}
+}
+
 func (k *Keeper) take(now time.Time, b wqmirror.Batch) {
 	news := k.mirror.Take(now, b)
 	for _, i := range news {
