End a single request without budget for another send at once

Cause: found by the test before: after a failure with the budget used up, a request to one searcher looked for budget every 10 ms until its deadline, although nothing was out. Change: it ends; fan-outs go on, since their other services are awaited anyway. TestRequestWithoutBudgetForAnotherSendEndsAtOnce was red.

--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -192,7 +192,9 @@
 	}
 	t := g.choose(now, pools[g.Services[i]], s)
 	if t == nil || s.arrivals > 0 && !g.Patience.Spend(now, g.Services[i]) {
-		s.closed = len(s.flights) == 0 && len(pools[g.Services[i]]) == 0
+		// A fan-out has other services to wait for, and budget may come meanwhile.
+		denied := t != nil && !g.Route.FanOut()
+		s.closed = len(s.flights) == 0 && (denied || len(pools[g.Services[i]]) == 0)
 		s.again = later(s.again, now.Add(lookAgain))
 		return sends
 	}
--- a/core/wqgather/gather_test.go
+++ b/core/wqgather/gather_test.go
@@ -175,3 +175,13 @@
 	b.now = b.Next(b.now)
 	must.Len(t, 1, b.wake(0), must.Sprint("a rest after refusals, then another try"))
 }
+
+func TestRequestWithoutBudgetForAnotherSendEndsAtOnce(t *testing.T) {
+	for outcome, want := range map[wqsend.Outcome]wqgather.Verdict{wqsend.Failed: wqgather.Fail, wqsend.Declined: wqgather.Refuse} {
+		b := newBench(1, wqroute.Route{Attempts: 2, Idempotent: true})
+		b.budget = 0
+		first := b.Start(b.now, b.pools)
+		must.Len(t, 0, b.take(first[0], outcome))
+		must.Eq(t, want, b.Verdict(b.now))
+	}
+}
