--- /dev/null
+++ b/cmd/wqhost/gauges.go
@@ -0,0 +1,24 @@
+package wqhost
+
+// serveGauges adds what this VM believes to its metrics.
+func (h *Host) serveGauges() {
+	plan := h.keeper.Plan
+	h.metrics.Gauge("host_ready", "1 while callers should be sent here.", func() float64 { return truth(plan().Ready()) })
+	h.metrics.Gauge("host_store_reachable", "1 while the store's latest answer came; 1 also on VMs that do not read it.", func() float64 { return truth(!h.storeAway.Load()) })
+	h.metrics.Gauge("host_store_revision", "The store's revision that is known.", func() float64 { return float64(plan().AsOf) })
+	h.metrics.Gauge("host_fleet", "VMs that share budgets and connections, this one included.", func() float64 { return float64(plan().Fleet) })
+	h.metrics.Gauge("host_hub", "1 while this VM runs fan-outs for others.", func() float64 { return truth(plan().IsHub) })
+	h.metrics.Gauge("host_configuration_version", "The configuration in force; 0 is none.", func() float64 {
+		if t := plan().Table; t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+}
+
+func truth(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -54,11 +54,12 @@
 	MetricsPort int              // MetricsPort is where metrics are served; 0 serves none.
 	Log         *slog.Logger
 
-	keeper  *wqkeeper.Keeper
-	relay   *wqrelay.Relay[*wqegress.Sender]
-	metrics *wqmetric.Metrics
-	front   *wqfront.Front
-	client  *wqtarget.Client
+	keeper    *wqkeeper.Keeper
+	relay     *wqrelay.Relay[*wqegress.Sender]
+	metrics   *wqmetric.Metrics
+	front     *wqfront.Front
+	client    *wqtarget.Client
+	storeAway atomic.Bool // storeAway is true while the store does not answer this VM.
 	// forPeers counts the fan-outs in progress for other VMs.
 	forPeers atomic.Int64
 }
@@ -80,6 +81,7 @@
 	h.client = client
 	h.keeper.Changed = h.limitConnections
 	h.relay = h.newRelay(peers)
+	h.serveGauges()
 	h.front = &wqfront.Front{Handler: h.callers(), Limits: h.limits, Log: h.Log}
 
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -115,7 +117,7 @@
 	}}
 	f := &wqfeed.Feed[*wqkv.Store]{
 		Name: "store", Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
-		Wait: watchWait, Rest: watchRest, Reached: func(bool) {}, Await: h.keeper.AwaitTurn, Log: h.Log,
+		Wait: watchWait, Rest: watchRest, Reached: func(ok bool) { h.storeAway.Store(!ok) }, Await: h.keeper.AwaitTurn, Log: h.Log,
 	}
 	f.Run(ctx)
 }
