Compare moments in one place; drop what nothing uses

Found in a read of the whole change, behaviour unchanged: earlier and later stood in wqgather, wqkeeper and wqdrain (wqmoment now; wqmember's treats zero as unset and stays); a constant of wqkeeper, Directory.Len and the decoded cold time of an answer had no user; wqpeer copied the heartbeat's timeout instead of asking wqmember for it.

--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -147,17 +147,6 @@
 	return pools, next
 }
 
-// Len counts the searchers that are registered.
-func (d *Directory) Len() int {
-	n := 0
-	for _, e := range d.entries {
-		if !e.removed {
-			n++
-		}
-	}
-	return n
-}
-
 func (d *Directory) expire(id string, e *entry, now time.Time) {
 	if e.removed && now.Sub(e.leftAt) > forget {
 		delete(d.entries, id)
--- a/core/wqdrain/drain.go
+++ b/core/wqdrain/drain.go
@@ -17,7 +17,11 @@
 // Reserve together.
 package wqdrain
 
-import "time"
+import (
+	"time"
+
+	"wisteriaquay/core/wqmoment"
+)
 
 // Phase is a step of a stop. Phases only follow each other in this order.
 type Phase uint8
@@ -92,7 +96,7 @@
 func (d *Drain) Wake() time.Time {
 	switch d.phase {
 	case Unready:
-		return earlier(d.stopped.Add(d.BalancerLag), d.closeBy())
+		return wqmoment.Earlier(d.stopped.Add(d.BalancerLag), d.closeBy())
 	case Finishing:
 		return d.closeBy()
 	default:
@@ -107,10 +111,3 @@
 func (d *Drain) Cut() Work { return d.cut }
 
 func (d *Drain) closeBy() time.Time { return d.End().Add(-d.Reserve) }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqmoment"
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/core/wqsend"
 )
@@ -195,7 +196,7 @@
 		// A fan-out has other services to wait for, and budget may come meanwhile.
 		denied := t != nil && !g.Route.FanOut()
 		s.closed = len(s.flights) == 0 && (denied || len(pools[g.Services[i]]) == 0)
-		s.again = later(s.again, now.Add(lookAgain))
+		s.again = wqmoment.Later(s.again, now.Add(lookAgain))
 		return sends
 	}
 	return append(sends, g.send(now, i, t))
@@ -230,23 +231,23 @@
 
 func (g *Gather[P, H]) hedgeAt(s *shard) time.Time {
 	newest := s.flights[len(s.flights)-1].since
-	return later(newest.Add(g.Patience.Delay()), s.again)
+	return wqmoment.Later(newest.Add(g.Patience.Delay()), s.again)
 }
 
 // Next returns when Wake is due.
 func (g *Gather[P, H]) Next(now time.Time) time.Time {
 	next := g.Deadline
 	if !g.SettleBy.IsZero() && now.Before(g.SettleBy) {
-		next = earlier(next, g.SettleBy)
+		next = wqmoment.Earlier(next, g.SettleBy)
 	}
 	for i := range g.shards {
 		s := &g.shards[i]
 		switch {
 		case s.answered, s.closed:
 		case len(s.flights) == 0:
-			next = earlier(next, later(s.again, now.Add(time.Millisecond)))
+			next = wqmoment.Earlier(next, wqmoment.Later(s.again, now.Add(time.Millisecond)))
 		case g.Route.Idempotent && s.runs < g.attempts() && s.sends < mostSends:
-			next = earlier(next, later(g.hedgeAt(s), now.Add(time.Millisecond)))
+			next = wqmoment.Earlier(next, wqmoment.Later(g.hedgeAt(s), now.Add(time.Millisecond)))
 		}
 	}
 	return next
@@ -264,20 +265,6 @@
 // Answered reports whether a service has answered.
 func (g *Gather[P, H]) Answered(i int) bool { return g.shards[i].answered }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Waits returns the searchers that a service's answer is awaited from.
 func (g *Gather[P, H]) Waits(i int) []string {
 	ids := make([]string, 0, len(g.shards[i].flights))
--- /dev/null
+++ b/core/wqmoment/moment.go
@@ -0,0 +1,24 @@
+// Package wqmoment compares moments.
+//
+// # Usage
+//
+//	next := wqmoment.Earlier(deadline, retryAt)
+package wqmoment
+
+import "time"
+
+// Earlier returns the earlier of two moments.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Later returns the later of two moments.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/wqsend/result.go
+++ b/core/wqsend/result.go
@@ -44,7 +44,6 @@
 	Code    int           // Code is the searcher's status code; 0 without an answer.
 	Header  map[string][]string
 	Body    []byte
-	Stamp   string        // Stamp is the searcher's signature of its answer; empty without one.
-	ColdFor time.Duration // ColdFor is how much longer the searcher says it stays cold; 0 says nothing.
-	Reason  string        // Reason says in a few words what went wrong.
+	Stamp   string // Stamp is the searcher's signature of its answer; empty without one.
+	Reason  string // Reason says in a few words what went wrong.
 }
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -32,9 +32,8 @@
 )
 
 const (
-	inbox        = 256             // inbox is how many messages may wait.
-	longestSleep = 5 * time.Second // longestSleep bounds the time between two plans.
-	grace        = 2 * time.Second // grace is how long registrations that lapsed may take to come back, as the platform states it.
+	inbox = 256             // inbox is how many messages may wait.
+	grace = 2 * time.Second // grace is how long registrations that lapsed may take to come back, as the platform states it.
 )
 
 // message is one event for the control goroutine.
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqmoment"
 )
 
 // fetchPatience is how long the store is given to tell this VM itself what a
@@ -139,7 +140,7 @@
 	}
 	next := k.members.Next()
 	if !k.chosen {
-		next = earlier(next, k.startedAt.Add(k.JoinTime))
+		next = wqmoment.Earlier(next, k.startedAt.Add(k.JoinTime))
 	}
 	if due := k.ahead.since.Add(k.patience()); k.ahead.member.Revision > k.mirror.AsOf() && due.Before(next) {
 		return due
@@ -147,13 +148,6 @@
 	return next
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // countFleet counts the VMs that may use a share of what holds for all: those
 // that are out of reach may run on, so only those that said they ended do not
 // count.
--- a/io/wqpeer/client.go
+++ b/io/wqpeer/client.go
@@ -30,9 +30,8 @@
 )
 
 const (
-	ackTimeout   = 300 * time.Millisecond // ackTimeout bounds a heartbeat; the same as wqmember's AckTimeout.
-	fetchTimeout = time.Second            // fetchTimeout bounds a call for items; they are a megabyte at most.
-	mostItems    = 16 << 20               // mostItems bounds the body of a reply with items, in bytes.
+	fetchTimeout = time.Second // fetchTimeout bounds a call for items; they are a megabyte at most.
+	mostItems    = 16 << 20    // mostItems bounds the body of a reply with items, in bytes.
 )
 
 // itemsPath is where a VM answers for its items.
@@ -67,7 +66,7 @@
 // Heartbeat sends a message on a goroutine of its own.
 func (c *Client) Heartbeat(s wqmember.Send) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), ackTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), wqmember.DefaultTiming().AckTimeout)
 		defer cancel()
 		reply, err := c.Pool.PeerClient(s.To.Address).Heartbeat(ctx, wqheartbeat.Encode(s.Message))
 		if err != nil {
