Look for other VMs for 40 ms after a restart instead of 120 ms

Cause: after all VMs ended, each waited 120 ms for peers that were not there before it read the store; 40 ms cover a new connection and a call to another zone. Conclusion: kept, since it is never worse; large fleets still ask peers first.

--- a/io/wqkeeper/watch.go
+++ b/io/wqkeeper/watch.go
@@ -18,8 +18,9 @@
 	// left without one in 1 of 10,000 cases.
 	watchersPerZone = 3
 	// joinTime is how long a VM that starts beside others looks for them before it
-	// takes itself for one of the few that read the store.
-	joinTime = 120 * time.Millisecond
+	// takes itself for one of the few that read the store: a new connection to
+	// another zone and a call on it take 18 ms, and the VM asked may be busy.
+	joinTime = 40 * time.Millisecond
 	// aloneAfter is how long no peer has answered when a VM takes itself for cut
 	// off from the others: three heartbeats. It then reads the store itself.
 	aloneAfter = 1600 * time.Millisecond
