Ask peers of the own zone for news first, one question at a time

A VM that does not read the store asked whichever peer said a new number first, and asked again at every further number while the answer was still on its way: 12,596 questions brought 450,607 items to 87 VMs, 258,219 of them from other zones. The rest is whole copies after restarts and requests to searchers.

--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -24,6 +24,7 @@
 
 	"wisteriaquay/core/wqchange"
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqlag"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqmirror"
 	"wisteriaquay/core/wqplan"
@@ -70,8 +71,7 @@
 	members   *wqmember.Machine
 	seeds     int // seeds counts the addresses that this VM was told at its start.
 	fleet     int
-	ahead     ahead
-	asked     uint64 // asked is the revision of a peer that was asked last.
+	lag       wqlag.Lag
 	turn      *turn
 	hubs      []*wqdirectory.Target
 	isHub     bool
@@ -103,6 +103,7 @@
 		mirror:    wqmirror.New(),
 		directory: wqdirectory.Directory{Grace: grace},
 		zonesOut:  make(map[string]bool),
+		lag:       wqlag.Lag{Zone: self.Zone},
 	}
 	k.turn, k.startedAt = newTurn(), time.Now()
 	k.members.Start(k.startedAt)
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -8,10 +8,6 @@
 	"wisteriaquay/core/wqmoment"
 )
 
-// fetchPatience is how long the store is given to tell this VM itself what a
-// peer knows already: a watch and the rest after it.
-const fetchPatience = 400 * time.Millisecond
-
 // Peers carries messages to other VMs. Both calls return at once; what comes
 // back is handed to the keeper.
 type Peers interface {
@@ -29,12 +25,6 @@
 	reply   chan<- wqmember.Message // reply is set for a peer's message.
 }
 
-// ahead is a peer that knows more than this VM.
-type ahead struct {
-	member wqmember.Member
-	since  time.Time
-}
-
 // Heard hands a peer's message to the control goroutine and returns the reply.
 func (k *Keeper) Heard(ctx context.Context, m wqmember.Message) (wqmember.Message, bool) {
 	reply := make(chan wqmember.Message, 1)
@@ -87,39 +77,24 @@
 	k.compare(now, h.message.From)
 }
 
-// compare notes a peer that knows more than this VM.
+// compare notes what a peer knows.
 func (k *Keeper) compare(now time.Time, from wqmember.Member) {
-	if from.Revision <= k.mirror.AsOf() {
-		return
-	}
 	if from.Address == "" { // Neighbours leave out what is known of them.
 		known, _ := k.members.Member(from.ID)
-		from.Address = known.Address
-	}
-	if k.ahead.member.Revision <= k.mirror.AsOf() {
-		k.ahead.since = now
-	}
-	k.ahead.member = from
-}
-
-// patience returns how long a peer may be ahead before it is asked: the first
-// time at once where this VM does not read the store itself.
-func (k *Keeper) patience() time.Duration {
-	if k.watches || k.asked == k.ahead.member.Revision {
-		return fetchPatience
+		from.Address, from.Zone = known.Address, known.Zone
 	}
-	return 0
+	k.lag.Heard(now, from, k.mirror.AsOf())
 }
 
-// catchUp asks the peer that is ahead once the store had time to answer.
+// catchUp asks a peer that is ahead, if one is to be asked.
 func (k *Keeper) catchUp(now time.Time) {
 	asOf := k.mirror.AsOf()
-	if k.ahead.member.Revision <= asOf || now.Before(k.ahead.since.Add(k.patience())) {
+	peer, ok := k.lag.Ask(now, asOf, k.watches)
+	if !ok {
 		return
 	}
-	k.ahead.since, k.asked = now, k.ahead.member.Revision
-	k.Log.Info("asking a peer", "peer", k.ahead.member.ID, "as_of", asOf, "peer_as_of", k.ahead.member.Revision)
-	k.Peers.Fetch(k.ahead.member, asOf)
+	k.Log.Info("asking a peer", "peer", peer.ID, "zone", peer.Zone, "as_of", asOf, "peer_as_of", peer.Revision)
+	k.Peers.Fetch(peer, asOf)
 }
 
 // beats sends the heartbeats that are due and returns when the next ones are.
@@ -142,8 +117,8 @@
 	if !k.chosen {
 		next = wqmoment.Earlier(next, k.startedAt.Add(k.JoinTime))
 	}
-	if due := k.ahead.since.Add(k.patience()); k.ahead.member.Revision > k.mirror.AsOf() && due.Before(next) {
-		return due
+	if due := k.lag.Due(now, k.mirror.AsOf(), k.watches); !due.IsZero() {
+		next = wqmoment.Earlier(next, due)
 	}
 	return next
 }
