--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -39,7 +39,7 @@
 const (
 	storeTimeout = time.Second            // storeTimeout bounds a call to the store beyond a watch's wait; an answer takes 4 ms, or 240 ms when it is slow.
 	watchWait    = 4 * time.Second        // watchWait bounds how long a watch that fell silent goes unnoticed.
-	watchRest    = 150 * time.Millisecond // watchRest joins changes that come together; they are due within seconds.
+	watchRest    = 300 * time.Millisecond // watchRest joins changes that come together; they are due within seconds.
 	// firstJoinTime is how long VMs look for each other when the whole fleet
 	// starts for the first time, within 0.3 s.
 	firstJoinTime = 500 * time.Millisecond
