Count a peer's word that a searcher drains from when it was first heard

Cause: a VM that learns from peers counted the two seconds for which a draining searcher may be used from when the word reached it; where the bound is 3 s, a rest, three messages between VMs and 2 s are over it. Removals were counted right. Change: Register takes the word's age. Test: TestDrainingThatAPeerKnewLongerEndsSooner, seen failing first.

--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -12,7 +12,7 @@
 // One goroutine owns a Directory and publishes what Pools returns:
 //
 //	d := &wqdirectory.Directory{Grace: 2 * time.Second}
-//	d.Register(now, record)
+//	d.Register(now, record, 0)
 //	d.Remove(now, "i-7", 0)
 //	d.SetZonesOut(map[string]bool{"b": true})
 //	pools, next := d.Pools(now)
@@ -71,9 +71,9 @@
 	misplaced bool // misplaced is true once another searcher answered at its address.
 }
 
-// Register takes what a searcher says of itself, and reports false for a word
-// that is older than one already known.
-func (d *Directory) Register(now time.Time, r Record) bool {
+// Register takes what a searcher said of itself age ago, and reports false for a
+// word that is older than one already known.
+func (d *Directory) Register(now time.Time, r Record, age time.Duration) bool {
 	if d.entries == nil {
 		d.entries = make(map[string]*entry)
 	}
@@ -86,7 +86,7 @@
 		return false
 	}
 	if r.Draining && e.leftAt.IsZero() {
-		e.leftAt = now
+		e.leftAt = now.Add(-age)
 	}
 	e.Record = r
 	e.misplaced = false
--- a/core/wqdirectory/directory_test.go
+++ b/core/wqdirectory/directory_test.go
@@ -32,7 +32,7 @@
 func directory(records ...wqdirectory.Record) *wqdirectory.Directory {
 	d := &wqdirectory.Directory{Grace: 2 * time.Second}
 	for _, r := range records {
-		d.Register(start, r)
+		d.Register(start, r, 0)
 	}
 	return d
 }
@@ -41,7 +41,7 @@
 	d := directory(record("x", 1, 1), record("y", 1, 1))
 	leaving := record("x", 1, 2)
 	leaving.Draining = true
-	d.Register(start, leaving)
+	d.Register(start, leaving, 0)
 	must.Eq(t, []string{"x?", "y"}, ids(d, 0))
 	_, next := d.Pools(start)
 	must.Eq(t, start.Add(2*time.Second), next)
@@ -52,19 +52,19 @@
 	d := directory(record("x", 1, 1))
 	leaving := record("x", 1, 5)
 	leaving.Draining = true
-	d.Register(start, leaving)
-	must.False(t, d.Register(start, record("x", 1, 4)))
+	d.Register(start, leaving, 0)
+	must.False(t, d.Register(start, record("x", 1, 4), 0))
 	must.Eq(t, []string{"x?"}, ids(d, 0))
-	must.True(t, d.Register(start, record("x", 2, 0)), must.Sprint("a new life counts anew"))
+	must.True(t, d.Register(start, record("x", 2, 0), 0), must.Sprint("a new life counts anew"))
 	must.Eq(t, []string{"x"}, ids(d, 0))
-	must.False(t, d.Register(start, record("x", 1, 9)))
+	must.False(t, d.Register(start, record("x", 1, 9), 0))
 }
 
 func TestLapsedRegistrationComesBackWithinTheGrace(t *testing.T) {
 	d := directory(record("x", 1, 3))
 	d.Remove(start, "x", 0)
 	must.Eq(t, []string{"x?"}, ids(d, time.Second))
-	must.True(t, d.Register(start.Add(time.Second), record("x", 1, 3)))
+	must.True(t, d.Register(start.Add(time.Second), record("x", 1, 3), 0))
 	must.Eq(t, []string{"x"}, ids(d, 5*time.Second))
 }
 
@@ -91,7 +91,7 @@
 	must.Eq(t, []string{"x"}, ids(d, 0), must.Sprint("a word about an earlier life"))
 	d.Misplace("x", 1)
 	must.SliceEmpty(t, ids(d, 0))
-	d.Register(start, record("x", 1, 2))
+	d.Register(start, record("x", 1, 2), 0)
 	must.Eq(t, []string{"x"}, ids(d, 0))
 }
 
@@ -107,3 +107,12 @@
 	pools, _ := directory(r).Pools(start)
 	must.Eq(t, start.Add(3*time.Second), pools["s"][0].ColdUntil)
 }
+
+func TestDrainingThatAPeerKnewLongerEndsSooner(t *testing.T) {
+	d := directory(record("x", 1, 1), record("y", 1, 1))
+	leaving := record("x", 1, 2)
+	leaving.Draining = true
+	d.Register(start, leaving, 1500*time.Millisecond)
+	must.Eq(t, []string{"x?", "y"}, ids(d, 499*time.Millisecond))
+	must.Eq(t, []string{"y"}, ids(d, 500*time.Millisecond))
+}
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -261,7 +261,7 @@
 }
 
 func (k *Keeper) register(now time.Time, i wqmirror.Item, r wqdirectory.Record) {
-	if !k.directory.Register(now, r) {
+	if !k.directory.Register(now, r, i.Age) {
 		k.Log.Info("an older registration is left aside", "searcher", r.ID, "born", r.Born, "sequence", r.Sequence, "revision", i.Revision)
 		return
 	}
