Say in each request's line how many sends it took, extra ones and to other zones

Cause: bytes between zones are the highest price after VMs, and no line said which requests cause them; Relay counted extra sends and nobody read the count.

--- a/core/wqcall/reply.go
+++ b/core/wqcall/reply.go
@@ -32,4 +32,12 @@
 	Body       []byte
 	Stamps     []string // Stamps are the signatures of the merged parts, for calls to many shards.
 	Missing    int      // Missing counts the shards that are left out.
+	Sends      Sends
+}
+
+// Sends counts the requests to searchers that a call took.
+type Sends struct {
+	All   int
+	Extra int // Extra counts those beyond the first to each service.
+	Far   int // Far counts those to another availability zone.
 }
--- a/io/wqrelay/drive.go
+++ b/io/wqrelay/drive.go
@@ -19,7 +19,7 @@
 	gather   *wqgather.Gather[wqpulse.Soonest, patience]
 	arrivals chan arrival
 	cancels  map[int]context.CancelFunc
-	extras   int
+	sends    wqcall.Sends
 }
 
 // arrival is the end of one send.
@@ -28,7 +28,15 @@
 	result wqsend.Result
 }
 
+// run drives the request and returns its reply.
 func (d *drive[S]) run(ctx context.Context) wqcall.Reply {
+	reply := d.follow(ctx)
+	reply.Sends = d.sends
+	return reply
+}
+
+// follow carries out what the state machine says until it ends.
+func (d *drive[S]) follow(ctx context.Context) wqcall.Reply {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	d.launch(ctx, d.gather.Start(time.Now(), d.relay.Plan().Pools))
@@ -63,15 +71,23 @@
 
 func (d *drive[S]) launch(ctx context.Context, sends []wqgather.Send) {
 	for _, s := range sends {
-		if s.Extra {
-			d.extras++
-		}
+		d.count(s)
 		sending, cancel := context.WithDeadline(ctx, d.gather.Deadline)
 		d.cancels[s.Number] = cancel
 		go d.send(sending, cancel, s)
 	}
 }
 
+func (d *drive[S]) count(s wqgather.Send) {
+	d.sends.All++
+	if s.Extra {
+		d.sends.Extra++
+	}
+	if s.Target.Searcher.Zone != d.relay.Zone {
+		d.sends.Far++
+	}
+}
+
 // send carries one send and reports its end, to the board and to the request.
 func (d *drive[S]) send(ctx context.Context, cancel context.CancelFunc, s wqgather.Send) {
 	defer cancel()
--- a/io/wqrelay/record.go
+++ b/io/wqrelay/record.go
@@ -26,6 +26,9 @@
 		attributes = append(attributes, slog.String("route", route.Name), slog.Uint64("version", plan.Table.Version), slog.Uint64("as_of", plan.AsOf))
 		coverage -= float64(reply.Missing) / float64(max(len(route.Shards), 1))
 	}
+	if reply.Sends.All > 0 {
+		attributes = append(attributes, slog.Int("sends", reply.Sends.All), slog.Int("extra", reply.Sends.Extra), slog.Int("other_zone", reply.Sends.Far))
+	}
 	if reply.Missing > 0 {
 		attributes = append(attributes, slog.Int("missing", reply.Missing))
 	}
--- a/io/wqrelay/relay_test.go
+++ b/io/wqrelay/relay_test.go
@@ -89,6 +89,7 @@
 	must.SliceContainsAll(t, []string{"x", "y"}, reply.Stamps)
 	must.Eq(t, 32, len(reply.Body))
 	must.Eq(t, 0, reply.Missing)
+	must.Eq(t, wqcall.Sends{All: 2}, reply.Sends)
 }
 
 func TestSendsEndWhenTheCallerLeaves(t *testing.T) {
