Hold requests for up to 100 ms while the first configuration is being read

A caller has few attempts and may have lost one to the same outage; one with 500 ms in all is then not served. Change: while the store has not failed, a request that comes before the first configuration waits for it, 100 ms at most; otherwise it is refused at once as before. Tests, seen failing first: TestVMThatStartsServesWhoComesAtOnce, TestRequestWaitsForTheFirstConfigurationWhileOneIsExpected.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -127,6 +127,7 @@
 		Plan: h.keeper.Plan, Sender: &wqegress.Sender{Client: h.client}, Board: wqpulse.New(), Zone: h.Settings.Zone,
 		Allowance: wqallowance.New(h.Settings.Extras, time.Now()), Hubs: hubs,
 		Misplaced: h.keeper.Misplaced, Metrics: h.metrics, Log: h.Log,
+		Starting: wqrelay.Starting{Configured: h.keeper.Configured(), Expected: func() bool { return !h.storeAway.Load() }},
 	}
 }
 
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,8 @@
 
 	loop      *wqloop.Loop[message]
 	plan      atomic.Pointer[wqplan.Plan]
+	ready     chan struct{} // ready is closed once the plan has a configuration.
+	once      sync.Once     // once closes it.
 	mirror    *wqmirror.Mirror
 	directory wqdirectory.Directory
 	table     *wqroute.Table
@@ -100,6 +103,7 @@
 		members:   &wqmember.Machine{Self: self, Random: random, Timing: wqmember.DefaultTiming()},
 		Log:       slog.New(slog.DiscardHandler),
 		loop:      wqloop.New[message](inbox),
+		ready:     make(chan struct{}),
 		mirror:    wqmirror.New(),
 		directory: wqdirectory.Directory{Grace: grace},
 		zonesOut:  make(map[string]bool),
@@ -118,6 +122,9 @@
 // Plan returns the newest plan.
 func (k *Keeper) Plan() *wqplan.Plan { return k.plan.Load() }
 
+// Configured is closed once the plan has a configuration.
+func (k *Keeper) Configured() <-chan struct{} { return k.ready }
+
 // AsOf returns the store's revision that the plan includes.
 func (k *Keeper) AsOf() uint64 { return k.Plan().AsOf }
 
@@ -199,6 +206,9 @@
 	})
 	k.poolsTo, k.dirty = next, false
 	k.Changed()
+	if k.table != nil {
+		k.once.Do(func() { close(k.ready) })
+	}
 }
 
 // setColdRates tells each target what its service's searchers bear while cold.
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -38,6 +38,9 @@
 	// settleMargin is how long before the objective an incomplete answer is
 	// given; the way from the caller counts too, and a new connection on it.
 	settleMargin = 16 * time.Millisecond
+	// startWait is how long a request is held while this VM reads its first
+	// configuration, which takes 30 to 50 ms on a busy VM: a caller has few attempts.
+	startWait = 100 * time.Millisecond
 )
 
 // Sender carries one request to one searcher.
@@ -55,6 +58,7 @@
 	Zone      string // Zone is this VM's own.
 	Allowance *wqallowance.Allowance
 	Misplaced func(t *wqdirectory.Target) // Misplaced is told when another searcher is at a target's address.
+	Starting  Starting
 	Hubs      Hubs
 	Metrics   *wqmetric.Metrics
 	Log       *slog.Logger
@@ -63,8 +67,16 @@
 	paces wqpace.Book
 }
 
+// Starting tells a request that comes before the first configuration whether to
+// wait for it. The zero value says no.
+type Starting struct {
+	Configured <-chan struct{} // Configured is closed once there is a configuration.
+	Expected   func() bool     // Expected reports whether one is expected in a moment.
+}
+
 // Serve answers one request.
 func (r *Relay[S]) Serve(ctx context.Context, c *wqcall.Call) wqcall.Reply {
+	r.Starting.await(ctx)
 	plan := r.Plan()
 	reply, route := wqcall.Reply{}, (*wqroute.Route)(nil)
 	switch {
@@ -78,6 +90,28 @@
 	return reply
 }
 
+// await returns once there is a configuration, or none can be waited for.
+func (s *Starting) await(ctx context.Context) {
+	if s.Configured == nil {
+		return
+	}
+	select {
+	case <-s.Configured:
+		return
+	default:
+	}
+	if !s.Expected() {
+		return
+	}
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	select {
+	case <-s.Configured:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (r *Relay[S]) onRoute(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route) wqcall.Reply {
 	switch {
 	case route == nil:
--- a/io/wqrelay/relay_test.go
+++ b/io/wqrelay/relay_test.go
@@ -81,6 +81,25 @@
 	must.Positive(t, reply.RetryAfter)
 }
 
+func TestRequestWaitsForTheFirstConfigurationWhileOneIsExpected(t *testing.T) {
+	r, plan := newRelay(newSender(false), nil)
+	var known atomic.Pointer[wqplan.Plan]
+	known.Store(&wqplan.Plan{})
+	configured, expected := make(chan struct{}), false
+	r.Plan = known.Load
+	r.Starting = wqrelay.Starting{Configured: configured, Expected: func() bool { return expected }}
+	began := time.Now()
+	must.Eq(t, wqcall.NotRun, r.Serve(t.Context(), call("/all/x")).Status)
+	must.Less(t, 50*time.Millisecond, time.Since(began), must.Sprint("none is expected, so the caller is told at once"))
+	expected = true
+	must.Eq(t, wqcall.NotRun, r.Serve(t.Context(), call("/all/x")).Status, must.Sprint("the wait is bounded"))
+	time.AfterFunc(10*time.Millisecond, func() {
+		known.Store(plan)
+		close(configured)
+	})
+	must.Eq(t, wqcall.Answered, r.Serve(t.Context(), call("/all/x")).Status)
+}
+
 func TestFanOutMergesThePartsNamed(t *testing.T) {
 	s := newSender(false)
 	r, _ := newRelay(s, nil)
--- /dev/null
+++ b/test/tier/recovery_test.go
@@ -0,0 +1,94 @@
+package tier_test
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/test/wqplatform"
+)
+
+const (
+	recoveryBound = 12 * time.Second // recoveryBound is how long a fleet may take to serve again after all VMs ended.
+	settled       = 2 * time.Second  // settled is how long a VM that wakes is given to learn what it missed.
+)
+
+// runsIn counts the runs of all searchers of a zone.
+func runsIn(f *wqplatform.Fleet, zone string) int {
+	n := 0
+	for _, s := range f.All() {
+		if s.Zone == zone {
+			n += len(s.Runs())
+		}
+	}
+	return n
+}
+
+func TestAllVMsKilledAfterAnAcknowledgementComeBackWithIt(t *testing.T) {
+	f := start(t, 3)
+	stop := load(f, 3)
+	time.Sleep(500 * time.Millisecond)
+	next := f.Configuration(9, cut1)
+	next.Routes = next.Routes[:2] // The write route is gone.
+	f.Configure(next)
+	f.Store.Put("op/evacuate/b", struct{}{})
+	for _, vm := range f.VMs {
+		vm.Signal(syscall.SIGKILL)
+	}
+	stop()
+	for _, vm := range f.VMs {
+		vm.Kill()
+	}
+	before := runsIn(f, "b")
+	began := time.Now()
+	for _, vm := range f.VMs {
+		vm.Start()
+	}
+	f.WaitReady()
+	must.Less(t, recoveryBound, time.Since(began))
+	for _, vm := range f.VMs {
+		must.Eq(t, http.StatusNotFound, f.Ask(vm, http.MethodPost, "/write/a", "", time.Second).Code)
+		for range 5 {
+			must.Eq(t, http.StatusOK, f.Ask(vm, http.MethodGet, "/all/a", "", time.Second).Code)
+		}
+	}
+	must.Eq(t, before, runsIn(f, "b"), must.Sprint("zone b is out"))
+	checkPromises(t, f)
+}
+
+func TestFrozenVMThatWakesFollowsWhatItMissed(t *testing.T) {
+	f := start(t, 3)
+	frozen := f.VMs[0]
+	must.Eq(t, http.StatusOK, f.Ask(frozen, http.MethodGet, "/all/a", "", time.Second).Code)
+	frozen.Signal(syscall.SIGSTOP)
+	next := f.Configuration(9, cut1)
+	next.Routes = next.Routes[:2]
+	f.Configure(next)
+	f.Store.Put("op/evacuate/a", struct{}{})
+	time.Sleep(wqplatform.EvacuateBound)
+	frozen.Signal(syscall.SIGCONT)
+	time.Sleep(settled)
+	before := runsIn(f, "a")
+	for range 10 {
+		must.Eq(t, http.StatusOK, f.Ask(frozen, http.MethodGet, "/all/a", "", time.Second).Code)
+	}
+	must.Eq(t, http.StatusNotFound, f.Ask(frozen, http.MethodPost, "/write/a", "", time.Second).Code)
+	must.Eq(t, before, runsIn(f, "a"), must.Sprint("zone a is out"))
+	checkPromises(t, f)
+}
+
+func TestVMThatStartsServesWhoComesAtOnce(t *testing.T) {
+	f := start(t, 2)
+	vm := f.VMs[0]
+	vm.Kill()
+	vm.Start()
+	var first wqplatform.Reply
+	f.Eventually(5*time.Second, func() bool { // Nothing listens yet at first.
+		first = f.Ask(vm, http.MethodGet, "/one/a", "", time.Second)
+		return first.Code != 0
+	})
+	must.Eq(t, http.StatusOK, first.Code)
+}
