Choose roles and make plans anew only when the fleet changes

The member list's version grows with every revision that any VM reports, and at each a VM listed and sorted all members twice, chose watchers and hubs and made a plan over all searchers. Change: wqmember.Roster grows only when VMs come, go or change state; the keeper chooses roles and counts the fleet by it, and hubs that stay the same make no plan. Test, seen failing first: TestPlanStaysWhilePeersOnlyReportRevisions.

--- a/core/wqmember/machine.go
+++ b/core/wqmember/machine.go
@@ -27,6 +27,7 @@
 	neighbours []string // neighbours are the live VMs that this one sends heartbeats to; see ring.
 	digest     uint64
 	version    uint64
+	roster     uint64
 
 	now          time.Time // now is the time of the latest call.
 	evidenceAt   time.Time // evidenceAt is when the last message that a peer answered was sent.
@@ -200,6 +201,7 @@
 	m.Self.State = s
 	m.digest ^= fingerprint(m.Self)
 	m.version++
+	m.roster++
 	m.urgent = true
 }
 
@@ -218,6 +220,10 @@
 // Version grows with every change that Members shows.
 func (m *Machine) Version() uint64 { return m.version }
 
+// Roster grows with every change of which VMs there are, where, and in what state;
+// not when a VM only reports a revision or refutes a suspicion in time.
+func (m *Machine) Roster() uint64 { return m.roster }
+
 // FreshAt returns when the last message that a peer answered was sent, or the
 // time of the latest call while there is no other live VM. When messages came in
 // does not count: they may have waited while this process was paused.
--- a/core/wqmember/merge.go
+++ b/core/wqmember/merge.go
@@ -57,6 +57,7 @@
 	m.peers[c.ID] = p
 	m.digest ^= fingerprint(c)
 	m.version++
+	m.roster++
 	if !c.State.Live() {
 		return
 	}
@@ -82,6 +83,9 @@
 	m.digest ^= fingerprint(c)
 	p.hearsay = false
 	m.version++
+	if standing(c) != standing(before) {
+		m.roster++
+	}
 	if c.State != before.State {
 		p.changedAt = m.now
 	}
@@ -98,6 +102,12 @@
 	}
 }
 
+// standing returns a member without what it reports of itself all the time.
+func standing(c Member) Member {
+	c.Incarnation, c.Revision, c.Isolated = 0, 0, false
+	return c
+}
+
 // revisionWithin returns the known revision while the process is the same.
 func revisionWithin(before, after Member) uint64 {
 	if before.Epoch != after.Epoch {
--- a/core/wqmember/probe.go
+++ b/core/wqmember/probe.go
@@ -219,6 +219,7 @@
 			delete(m.peers, id)
 			delete(m.rumours, id)
 			m.version++
+			m.roster++
 		}
 	}
 }
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -79,17 +79,16 @@
 	hubs      []*wqdirectory.Target
 	isHub     bool
 	startedAt time.Time
-	// watchersAt is the version of the member list that the watchers were chosen
-	// from, once chosen is true.
-	watchersAt uint64
-	chosen     bool
-	alone      bool   // alone is true while no peer answers.
-	watches    bool   // watches is true while this VM reads the store.
-	crowd      bool   // crowd is true while there are VMs that do not.
-	told       uint64 // told is the revision of the latest news.
-	stopping   bool
-	dirty      bool      // dirty is true when the plan is older than the state.
-	poolsTo    time.Time // poolsTo is when the pools change by time alone; zero is never.
+	rosterAt  uint64 // rosterAt is the roster that roles were chosen from, once chosen is true.
+	chosen    bool
+	countedAt uint64 // countedAt is the roster that the fleet was counted from.
+	alone     bool   // alone is true while no peer answers.
+	watches   bool   // watches is true while this VM reads the store.
+	crowd     bool   // crowd is true while there are VMs that do not.
+	told      uint64 // told is the revision of the latest news.
+	stopping  bool
+	dirty     bool      // dirty is true when the plan is older than the state.
+	poolsTo   time.Time // poolsTo is when the pools change by time alone; zero is never.
 }
 
 // New returns a keeper for one VM that believes nothing yet.
--- a/io/wqkeeper/keeper_test.go
+++ b/io/wqkeeper/keeper_test.go
@@ -167,3 +167,23 @@
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(4*time.Second), wait.Gap(50*time.Millisecond),
 		wait.BoolFunc(func() bool { return reading(f.keepers[idle]) })))
 }
+
+// A VM hears news from its neighbours many times a second; its plan, which names
+// all searchers, is made anew only when something in it changes.
+func TestPlanStaysWhilePeersOnlyReportRevisions(t *testing.T) {
+	f := newFleet(t, 4)
+	k := f.keepers["10.0.0.0:1"]
+	f.keepers["10.0.0.1:1"].Deliver(t.Context(), version(1))
+	f.inForce(t, 1, 3*time.Second)
+	time.Sleep(2 * time.Second) // The fleet finds itself.
+	from := wqmember.Member{ID: "vm-99", Address: "10.0.0.99:1", Zone: "a", Region: "r", Incarnation: 1, Epoch: 1}
+	_, ok := k.Heard(t.Context(), wqmember.Message{From: from})
+	must.True(t, ok)
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(time.Second), wait.Gap(time.Millisecond), wait.BoolFunc(func() bool { return k.Plan().Fleet == 5 })))
+	plan := k.Plan()
+	for from.Revision = 1; from.Revision <= plan.AsOf; from.Revision++ {
+		_, ok = k.Heard(t.Context(), wqmember.Message{From: from})
+		must.True(t, ok)
+	}
+	must.True(t, plan == k.Plan(), must.Sprint("the plan was made anew"))
+}
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -60,7 +60,7 @@
 	for _, a := range addresses {
 		listed = append(listed, wqmember.Listed{ID: a, Address: a})
 	}
-	k.seeds = len(listed)
+	k.seeds, k.countedAt = len(listed), 0
 	k.members.Seed(now, listed)
 }
 
@@ -109,10 +109,7 @@
 		k.Peers.Heartbeat(s)
 	}
 	k.catchUp(now)
-	if fleet := k.countFleet(); fleet != k.fleet {
-		k.Log.Info("fleet", "vms", fleet, "before", k.fleet)
-		k.fleet, k.dirty = fleet, true
-	}
+	k.recount()
 	next := k.members.Next()
 	if !k.chosen {
 		next = wqmoment.Earlier(next, k.startedAt.Add(k.JoinTime))
@@ -123,6 +120,19 @@
 	return next
 }
 
+// recount notices that the fleet's size has changed.
+func (k *Keeper) recount() {
+	roster := k.members.Roster() + 1 // One more, so that the first count is made.
+	if k.countedAt == roster {
+		return
+	}
+	k.countedAt = roster
+	if fleet := k.countFleet(); fleet != k.fleet {
+		k.Log.Info("fleet", "vms", fleet, "before", k.fleet)
+		k.fleet, k.dirty = fleet, true
+	}
+}
+
 // countFleet counts the VMs that may use a share of what holds for all: those
 // that are out of reach may run on, so only those that said they ended do not
 // count.
--- a/io/wqkeeper/watch.go
+++ b/io/wqkeeper/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,10 +69,10 @@
 		return
 	}
 	alone := wqmember.Elapsed(k.members.FreshAt(), now) > aloneAfter
-	if k.chosen && alone == k.alone && k.watchersAt == k.members.Version() {
+	if k.chosen && alone == k.alone && k.rosterAt == k.members.Roster() {
 		return
 	}
-	k.watchersAt, k.chosen, k.alone = k.members.Version(), true, alone
+	k.rosterAt, k.chosen, k.alone = k.members.Roster(), true, alone
 	live := k.live()
 	k.chooseHubs(live)
 	policy := wqconfig.PerZone{Count: watchersPerZone}
@@ -99,7 +100,13 @@
 	if isHub != k.isHub || len(hubs) != len(k.hubs) {
 		k.Log.Info("running fan-outs", "hubs", len(hubs), "is_hub", isHub, "live", len(live))
 	}
-	k.hubs, k.isHub, k.dirty = hubs, isHub, true
+	k.dirty = k.dirty || isHub != k.isHub || !slices.EqualFunc(hubs, k.hubs, sameVM)
+	k.hubs, k.isHub = hubs, isHub
+}
+
+// sameVM reports whether two hubs are the same VM at the same address.
+func sameVM(a, b *wqdirectory.Target) bool {
+	return a.Searcher.ID == b.Searcher.ID && a.Searcher.Address == b.Searcher.Address
 }
 
 // live returns the VMs that answer and stay, this one included.
