Make the pools of changed services only

Cause: each change of one searcher made the targets of all searchers anew and gave each its share of connections again: 1.5 ms and 600 kB for 2,400 searchers, on VMs that have a fifth of a core. Targets in force were written to while traffic read them. Change: wqdirectory remembers which services changed; the keeper hands a plan to the host before it is in force, which limits the searchers of changed services only.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -12,12 +12,14 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"wisteriaquay/core/wqallowance"
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqmember"
+	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqpulse"
 	"wisteriaquay/io/wqdial"
 	"wisteriaquay/io/wqfeed"
@@ -59,7 +61,8 @@
 	metrics   *wqmetric.Metrics
 	front     *wqfront.Front
 	client    *wqtarget.Client
-	storeAway atomic.Bool // storeAway is true while the store does not answer this VM.
+	limits    map[string]limited // limits are those in force, by service; the control goroutine owns them.
+	storeAway atomic.Bool        // storeAway is true while the store does not answer this VM.
 	// forPeers counts the fan-outs in progress for other VMs.
 	forPeers atomic.Int64
 }
@@ -79,10 +82,10 @@
 	client, closeClient := wqtarget.New()
 	defer closeClient()
 	h.client = client
-	h.keeper.Changed = h.limitConnections
+	h.keeper.Prepare = h.limitConnections
 	h.relay = h.newRelay(peers)
 	h.serveGauges()
-	h.front = &wqfront.Front{Handler: h.callers(), Limits: h.limits, Log: h.Log}
+	h.front = &wqfront.Front{Handler: h.callers(), Limits: h.callerLimits, Log: h.Log}
 
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -144,7 +147,7 @@
 	return firstBody
 }
 
-func (h *Host) limits() wqfront.Limits {
+func (h *Host) callerLimits() wqfront.Limits {
 	t := h.keeper.Plan().Table
 	if t == nil {
 		return wqfront.Limits{}
@@ -156,30 +159,44 @@
 // free: searchers take fewer while their queue is long, and VMs come and go.
 const connectionReserve = 0.15
 
-// limitConnections gives each searcher this VM's share of its connections. The
-// searchers of fan-outs are shared by the VMs that run them.
-func (h *Host) limitConnections() {
-	p := h.keeper.Plan()
+// limited is what the searchers of a service were told last.
+type limited struct {
+	share   int
+	targets []*wqdirectory.Target
+}
+
+// limitConnections gives each searcher of a new plan this VM's share of its
+// connections. The searchers of fan-outs are shared by the VMs that run them.
+func (h *Host) limitConnections(p *wqplan.Plan) {
 	if p.Table == nil {
 		return
 	}
+	limits := make(map[string]limited, len(p.Pools))
 	shards := p.Table.Shards()
 	for service, targets := range p.Pools {
 		sharers, own := max(p.Fleet, 1), true
 		if shards[service] {
 			sharers, own = p.Sharers()
 		}
-		share := int(float64(p.Table.Services[service].Connections) * (1 - connectionReserve) / float64(sharers))
+		share := max(1, int(float64(p.Table.Services[service].Connections)*(1-connectionReserve)/float64(sharers)))
 		if !own {
 			share = 1
 		}
-		for _, t := range targets {
-			h.limitOne(t, max(1, share))
+		if old := h.limits[service]; old.share != share || !slices.Equal(old.targets, targets) {
+			h.limitService(targets, share)
 		}
+		limits[service] = limited{share: share, targets: targets}
 	}
+	h.limits = limits
 }
 
-func (h *Host) limitOne(t *wqdirectory.Target, share int) {
-	t.Searcher.Connections = share
-	h.client.Limit(&t.Searcher, share)
+// limitService gives the searchers of one service a share. Targets that are in
+// force are read by traffic and stay as they are.
+func (h *Host) limitService(targets []*wqdirectory.Target, share int) {
+	for _, t := range targets {
+		if t.Searcher.Connections == 0 {
+			t.Searcher.Connections = share
+		}
+		h.client.Limit(&t.Searcher, share)
+	}
 }
--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -16,9 +16,13 @@
 //	d.Remove(now, "i-7", 0)
 //	d.SetZonesOut(map[string]bool{"b": true})
 //	pools, next := d.Pools(now)
+//
+// Pools costs as much as has changed since the last call, since a fleet of many
+// searchers always has some that come or go.
 package wqdirectory
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -52,7 +56,8 @@
 	Doubtful  bool      // Doubtful targets leave, or their registration is gone; use them when there is no other.
 }
 
-// Pools holds the targets of each service, sorted by id.
+// Pools holds the targets of each service, sorted by id. They never change once
+// they are returned.
 type Pools map[string][]*Target
 
 // Directory holds all searchers. Set the exported fields before the first call.
@@ -60,7 +65,12 @@
 	Grace time.Duration // Grace is how long a leaving searcher may still be used.
 
 	entries  map[string]*entry
+	services map[string]map[string]*entry // services holds the entries of each service, by id.
+	leaving  map[string]*entry            // leaving are the entries that leave or are gone, by id.
+	changed  map[string]bool              // changed are the services whose pool is older than their entries.
+	pools    Pools
 	zonesOut map[string]bool
+	coldRate func(service string) float64
 }
 
 type entry struct {
@@ -68,6 +78,7 @@
 	coldUntil time.Time
 	leftAt    time.Time // leftAt is when it began to drain or its registration ended; zero while it serves.
 	removed   bool
+	ended     bool // ended is true once its grace is over.
 	misplaced bool // misplaced is true once another searcher answered at its address.
 }
 
@@ -75,18 +86,22 @@
 // word that is older than one already known.
 func (d *Directory) Register(now time.Time, r Record, age time.Duration) bool {
 	if d.entries == nil {
-		d.entries = make(map[string]*entry)
+		d.entries, d.services = make(map[string]*entry), make(map[string]map[string]*entry)
+		d.leaving, d.changed, d.pools = make(map[string]*entry), make(map[string]bool), make(Pools)
 	}
 	e := d.entries[r.ID]
 	if e == nil || r.Born > e.Born || e.removed && r.Born == e.Born && r.Sequence >= e.Sequence {
+		d.drop(r.ID)
 		e = &entry{}
 		d.entries[r.ID] = e
 	}
 	if r.Born < e.Born || r.Born == e.Born && r.Sequence < e.Sequence {
 		return false
 	}
+	d.unlist(e)
 	if r.Draining && e.leftAt.IsZero() {
 		e.leftAt = now.Add(-age)
+		d.leaving[r.ID] = e
 	}
 	e.Record = r
 	e.misplaced = false
@@ -94,9 +109,34 @@
 	if r.ColdFor > 0 {
 		e.coldUntil = now.Add(r.ColdFor)
 	}
+	d.list(e)
 	return true
 }
 
+// list adds an entry to its service.
+func (d *Directory) list(e *entry) {
+	if d.services[e.Service] == nil {
+		d.services[e.Service] = make(map[string]*entry)
+	}
+	d.services[e.Service][e.ID] = e
+	d.changed[e.Service] = true
+}
+
+// unlist takes an entry from its service.
+func (d *Directory) unlist(e *entry) {
+	delete(d.services[e.Service], e.ID)
+	d.changed[e.Service] = true
+}
+
+// drop forgets a searcher.
+func (d *Directory) drop(id string) {
+	if e := d.entries[id]; e != nil {
+		d.unlist(e)
+		delete(d.entries, id)
+		delete(d.leaving, id)
+	}
+}
+
 // Remove notes that a searcher's registration ended age ago.
 func (d *Directory) Remove(now time.Time, id string, age time.Duration) {
 	e := d.entries[id]
@@ -104,57 +144,94 @@
 		return
 	}
 	e.removed = true
+	d.changed[e.Service] = true
 	if e.leftAt.IsZero() {
 		e.leftAt = now.Add(-age)
+		d.leaving[id] = e
 	}
 }
 
 // Spoil withdraws a searcher at once, because its registration cannot be read.
-func (d *Directory) Spoil(id string) { delete(d.entries, id) }
+func (d *Directory) Spoil(id string) { d.drop(id) }
 
 // Misplace notes that another searcher answered at the address of this one. It
 // is not used until it says something new of itself.
 func (d *Directory) Misplace(id string, born int64) {
 	if e := d.entries[id]; e != nil && e.Born == born {
 		e.misplaced = true
+		d.changed[e.Service] = true
 	}
 }
 
 // SetZonesOut replaces the availability zones that are taken out.
-func (d *Directory) SetZonesOut(zones map[string]bool) { d.zonesOut = zones }
+func (d *Directory) SetZonesOut(zones map[string]bool) {
+	d.zonesOut = zones
+	d.changeAll()
+}
+
+// SetColdRates replaces what the searchers of each service bear while they are
+// cold, in requests a second.
+func (d *Directory) SetColdRates(rate func(service string) float64) {
+	d.coldRate = rate
+	d.changeAll()
+}
+
+func (d *Directory) changeAll() {
+	for service := range d.services {
+		d.changed[service] = true
+	}
+}
 
 // Pools returns the targets of each service and when that changes by time alone,
-// zero for never.
+// zero for never. Now never goes back.
 func (d *Directory) Pools(now time.Time) (Pools, time.Time) {
-	pools := make(Pools)
+	next := d.end(now)
+	for service := range d.changed {
+		d.renew(service)
+	}
+	clear(d.changed)
+	return maps.Clone(d.pools), next
+}
+
+// end ends the entries whose grace is over, and returns when the next one is.
+func (d *Directory) end(now time.Time) time.Time {
 	var next time.Time
-	for id, e := range d.entries {
-		end := e.leftAt.Add(d.Grace)
-		if !e.leftAt.IsZero() && !now.Before(end) {
-			d.expire(id, e, now)
+	for id, e := range d.leaving {
+		if end := e.leftAt.Add(d.Grace); now.Before(end) {
+			if next.IsZero() || end.Before(next) {
+				next = end
+			}
 			continue
 		}
-		if !e.leftAt.IsZero() && (next.IsZero() || end.Before(next)) {
-			next = end
+		if !e.ended {
+			e.ended = true
+			d.changed[e.Service] = true
 		}
-		if !e.misplaced && !d.zonesOut[e.Zone] {
-			pools[e.Service] = append(pools[e.Service], e.target())
+		if e.removed && now.Sub(e.leftAt) > forget {
+			d.drop(id)
 		}
 	}
-	for _, p := range pools {
-		slices.SortFunc(p, func(a, b *Target) int { return strings.Compare(a.Searcher.ID, b.Searcher.ID) })
-	}
-	return pools, next
+	return next
 }
 
-func (d *Directory) expire(id string, e *entry, now time.Time) {
-	if e.removed && now.Sub(e.leftAt) > forget {
-		delete(d.entries, id)
+// renew makes the pool of one service anew.
+func (d *Directory) renew(service string) {
+	var pool []*Target
+	for _, e := range d.services[service] {
+		if !e.ended && !e.misplaced && !d.zonesOut[e.Zone] {
+			pool = append(pool, d.target(e))
+		}
 	}
+	if len(pool) == 0 {
+		delete(d.pools, service)
+		return
+	}
+	slices.SortFunc(pool, func(a, b *Target) int { return strings.Compare(a.Searcher.ID, b.Searcher.ID) })
+	d.pools[service] = pool
 }
 
-func (e *entry) target() *Target {
-	return &Target{
+func (d *Directory) target(e *entry) *Target {
+	t := &Target{
 		Searcher: wqtopology.Searcher{
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Service: e.Service, Shard: e.Service, Slots: e.Slots,
 		},
@@ -162,4 +239,8 @@
 		ColdUntil: e.coldUntil,
 		Doubtful:  !e.leftAt.IsZero(),
 	}
+	if d.coldRate != nil {
+		t.ColdRate = d.coldRate(e.Service)
+	}
+	return t
 }
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -59,8 +59,8 @@
 type Keeper struct {
 	Decode   func(wqmirror.Item) wqchange.Change
 	Peers    Peers
-	JoinTime time.Duration // JoinTime is how long this VM looks for others before it reads the store itself.
-	Changed  func()        // Changed is called after each new plan.
+	JoinTime time.Duration        // JoinTime is how long this VM looks for others before it reads the store itself.
+	Prepare  func(p *wqplan.Plan) // Prepare is called with each new plan before it is in force.
 	Log      *slog.Logger
 
 	loop      *wqloop.Loop[message]
@@ -98,7 +98,7 @@
 		Decode:    decode,
 		Peers:     nobody{},
 		JoinTime:  joinTime,
-		Changed:   func() {},
+		Prepare:   func(*wqplan.Plan) {},
 		members:   &wqmember.Machine{Self: self, Random: random, Timing: wqmember.DefaultTiming()},
 		Log:       slog.New(slog.DiscardHandler),
 		loop:      wqloop.New[message](inbox),
@@ -198,30 +198,18 @@
 // publish makes the newest plan.
 func (k *Keeper) publish(now time.Time) {
 	pools, next := k.directory.Pools(now)
-	k.setColdRates(pools)
-	k.plan.Store(&wqplan.Plan{
+	plan := &wqplan.Plan{
 		Table: k.table, Pools: pools, Fleet: max(k.fleet, 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
 		Hubs: k.hubs, IsHub: k.isHub,
-	})
+	}
+	k.Prepare(plan)
+	k.plan.Store(plan)
 	k.poolsTo, k.dirty = next, false
-	k.Changed()
 	if k.table != nil {
 		k.once.Do(func() { close(k.ready) })
 	}
 }
 
-// setColdRates tells each target what its service's searchers bear while cold.
-func (k *Keeper) setColdRates(pools wqdirectory.Pools) {
-	if k.table == nil {
-		return
-	}
-	for service, targets := range pools {
-		for _, t := range targets {
-			t.ColdRate = k.table.Services[service].ColdRate
-		}
-	}
-}
-
 func (k *Keeper) take(now time.Time, b wqmirror.Batch) {
 	news := k.mirror.Take(now, b)
 	for _, i := range news {
@@ -266,6 +254,7 @@
 		return
 	}
 	k.table = t
+	k.directory.SetColdRates(func(service string) float64 { return t.Services[service].ColdRate })
 	k.Log.Info("configuration in force", "version", t.Version, "before", old, "routes", t.Routes(), "revision", i.Revision, "age_ms", i.Age.Milliseconds())
 }
 
