Say who gave a configuration, how long a source was silent, and how old its word is

Cause: the hypotheses of the open incident could not be told apart: neither logs nor metrics said from whom a configuration came, how long a call to the store had hung, or for how long it had not answered.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -48,6 +48,9 @@
 	firstBody     = 1 << 20 // firstBody bounds a body before the configuration is known, in bytes.
 )
 
+// storeName is what logs and metrics call the platform's store.
+const storeName = "store"
+
 // Host is one VM. Set the exported fields before Run.
 type Host struct {
 	Settings    *wqboot.Settings
@@ -119,7 +122,7 @@
 		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: quickTransport()},
 	}}
 	f := &wqfeed.Feed[*wqkv.Store]{
-		Name: "store", Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
+		Name: storeName, Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
 		Wait: watchWait, Rest: watchRest, Reached: func(ok bool) { h.storeAway.Store(!ok) }, Await: h.keeper.AwaitTurn, Log: h.Log,
 	}
 	f.Run(ctx)
--- a/core/wqmirror/mirror.go
+++ b/core/wqmirror/mirror.go
@@ -33,6 +33,7 @@
 	Items []Item
 	AsOf  uint64 // AsOf is the store's revision up to which the batch is complete.
 	Whole bool   // Whole means that keys which the batch does not name had no value at AsOf.
+	From  string // From names who gave it: the store, or a peer's id.
 }
 
 // Mirror is one copy. Create it with New.
--- a/core/wqplan/plan.go
+++ b/core/wqplan/plan.go
@@ -12,6 +12,8 @@
 package wqplan
 
 import (
+	"time"
+
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqroute"
 )
@@ -25,6 +27,8 @@
 	IsHub    bool                  // IsHub is true when this VM is one of them.
 	Stopping bool                  // Stopping is true from SIGTERM on.
 	AsOf     uint64                // AsOf is the store's revision that the plan includes.
+	From     string                // From names who last said so: the store, or a peer's id; empty while nothing is known.
+	HeardAt  time.Time             // HeardAt is when that was; zero while nothing is known.
 }
 
 // Sharers returns how many VMs share what holds for the searchers of fan-outs,
--- a/io/wqfeed/feed.go
+++ b/io/wqfeed/feed.go
@@ -48,19 +48,23 @@
 	Reached func(bool)                            // Reached is told whether the latest call was answered.
 	Log     *slog.Logger
 
-	failures int
+	failures   int
+	answeredAt time.Time // answeredAt is when the source last answered, or when Run began.
 }
 
 // Run follows the source until ctx ends.
 func (f *Feed[S]) Run(ctx context.Context) {
+	f.answeredAt = time.Now()
 	for ctx.Err() == nil {
 		f.Await(ctx)
+		began := time.Now()
 		b, err := f.next(ctx)
 		if err != nil {
-			f.fail(ctx, err)
+			f.fail(ctx, err, time.Since(began))
 			continue
 		}
-		f.succeed()
+		f.succeed(time.Now())
+		b.From = f.Name
 		f.Deliver(ctx, b)
 		if len(b.Items) > 0 {
 			sleep(ctx, f.Rest)
@@ -82,21 +86,21 @@
 	return b, err
 }
 
-func (f *Feed[S]) succeed() {
+func (f *Feed[S]) succeed(now time.Time) {
 	if f.failures > 0 {
-		f.Log.Info("source answers again", "source", f.Name, "failures", f.failures)
+		f.Log.Info("source answers again", "source", f.Name, "failures", f.failures, "silent_ms", now.Sub(f.answeredAt).Milliseconds())
 	}
-	f.failures = 0
+	f.failures, f.answeredAt = 0, now
 	f.Reached(true)
 }
 
-func (f *Feed[S]) fail(ctx context.Context, err error) {
+func (f *Feed[S]) fail(ctx context.Context, err error, took time.Duration) {
 	if ctx.Err() != nil {
 		return
 	}
 	f.failures++
 	if f.failures == 1 {
-		f.Log.Warn("source does not answer", "source", f.Name, "as_of", f.AsOf(), "error", err.Error())
+		f.Log.Warn("source does not answer", "source", f.Name, "as_of", f.AsOf(), "took_ms", took.Milliseconds(), "error", err.Error())
 	}
 	f.Reached(false)
 	pause := min(firstPause<<min(f.failures-1, 10), mostPause)
--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -86,6 +86,8 @@
 	watches   bool   // watches is true while this VM reads the store.
 	crowd     bool   // crowd is true while there are VMs that do not.
 	told      uint64 // told is the revision of the latest news.
+	from      string // from names who gave the latest batch, news or not.
+	heardAt   time.Time
 	stopping  bool
 	dirty     bool      // dirty is true when the plan is older than the state.
 	poolsTo   time.Time // poolsTo is when the pools change by time alone; zero is never.
@@ -200,7 +202,7 @@
 	pools, next := k.directory.Pools(now)
 	plan := &wqplan.Plan{
 		Table: k.table, Pools: pools, Fleet: max(k.fleet, 1), Stopping: k.stopping, AsOf: k.mirror.AsOf(),
-		Hubs: k.hubs, IsHub: k.isHub,
+		Hubs: k.hubs, IsHub: k.isHub, From: k.from, HeardAt: k.heardAt,
 	}
 	k.Prepare(plan)
 	k.plan.Store(plan)
@@ -211,6 +213,7 @@
 }
 
 func (k *Keeper) take(now time.Time, b wqmirror.Batch) {
+	k.from, k.heardAt = b.From, now
 	news := k.mirror.Take(now, b)
 	for _, i := range news {
 		k.apply(now, i, k.Decode(i))
@@ -228,7 +231,7 @@
 		k.zonesOut = maps.Clone(k.zonesOut)
 		k.zonesOut[c.Zone] = c.Kind == wqchange.ZoneOut
 		k.directory.SetZonesOut(k.zonesOut)
-		k.Log.Info("availability zone", "zone", c.Zone, "out", k.zonesOut[c.Zone], "revision", i.Revision, "age_ms", i.Age.Milliseconds())
+		k.Log.Info("availability zone", "zone", c.Zone, "out", k.zonesOut[c.Zone], "revision", i.Revision, "age_ms", i.Age.Milliseconds(), "from", k.from)
 	case wqchange.Registered:
 		k.register(now, i, c.Record)
 	case wqchange.Unregistered:
@@ -255,7 +258,7 @@
 	}
 	k.table = t
 	k.directory.SetColdRates(func(service string) float64 { return t.Services[service].ColdRate })
-	k.Log.Info("configuration in force", "version", t.Version, "before", old, "routes", t.Routes(), "revision", i.Revision, "age_ms", i.Age.Milliseconds())
+	k.Log.Info("configuration in force", "version", t.Version, "before", old, "routes", t.Routes(), "revision", i.Revision, "age_ms", i.Age.Milliseconds(), "from", k.from)
 }
 
 func (k *Keeper) register(now time.Time, i wqmirror.Item, r wqdirectory.Record) {
--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -56,6 +56,7 @@
 	writes    *prometheus.CounterVec
 	calls     *prometheus.HistogramVec
 	parts     *prometheus.HistogramVec
+	sends     *prometheus.CounterVec
 	failures  *prometheus.CounterVec
 }
 
@@ -73,8 +74,9 @@
 	m.writes = counter("writes_total", "Write-like requests, by outcome.", append(labels, "outcome"))
 	m.calls = histogram("request_seconds", "Time from a request's arrival to its reply, in seconds.", latencyBuckets(), []string{"route", "status"})
 	m.parts = histogram("request_coverage_ratio", "Share of the shards in an answer.", coverageBuckets(), []string{"route"})
+	m.sends = counter("sends_total", "Sends to searchers.", []string{"service"})
 	m.failures = counter("sends_failed_total", "Sends to searchers that brought no answer.", []string{"service", "outcome"})
-	m.registry.MustRegister(m.calls, m.parts, m.failures)
+	m.registry.MustRegister(m.calls, m.parts, m.sends, m.failures)
 	m.registry.MustRegister(m.latency, m.coverage, m.extraLoad, m.needed, m.sent, m.hedges, m.refusals, m.writes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -125,6 +127,9 @@
 	m.parts.WithLabelValues(c.Route).Observe(c.Coverage)
 }
 
+// Sent counts a send to a searcher.
+func (m *Metrics) Sent(service string) { m.sends.WithLabelValues(service).Inc() }
+
 // SendFailed counts a send to a searcher that brought no answer.
 func (m *Metrics) SendFailed(service, outcome string) {
 	m.failures.WithLabelValues(service, outcome).Inc()
--- a/io/wqpeer/client.go
+++ b/io/wqpeer/client.go
@@ -88,7 +88,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 		defer cancel()
-		b, err := c.fetch(ctx, from.Address, after)
+		b, err := c.fetch(ctx, from, after)
 		if err != nil {
 			c.Log.Warn("a peer did not give its items; another one will be asked", "peer", from.ID, "error", err.Error())
 			return
@@ -98,8 +98,8 @@
 	}()
 }
 
-func (c *Client) fetch(ctx context.Context, address string, after uint64) (wqmirror.Batch, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d", address, itemsPath, after)
+func (c *Client) fetch(ctx context.Context, from wqmember.Member, after uint64) (wqmirror.Batch, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d", from.Address, itemsPath, after)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return wqmirror.Batch{}, err
@@ -116,7 +116,7 @@
 	if err := json.NewDecoder(io.LimitReader(response.Body, mostItems)).Decode(&in); err != nil {
 		return wqmirror.Batch{}, err
 	}
-	b := wqmirror.Batch{AsOf: in.AsOf, Whole: in.Whole}
+	b := wqmirror.Batch{AsOf: in.AsOf, Whole: in.Whole, From: from.ID}
 	for _, i := range in.Items {
 		age := time.Duration(i.AgeMillis) * time.Millisecond
 		b.Items = append(b.Items, wqmirror.Item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed, Age: age})
