--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -94,7 +94,7 @@
 	defer cancel()
 	go h.keeper.Run(running)
 	h.keeper.Seed(running, h.Settings.Seeds)
-	go h.followStore(running)
+	go h.followStore(running, quickTransport())
 	go h.reload(running)
 	stop, err := h.listen(running)
 	if err != nil {
@@ -117,9 +117,10 @@
 	}
 }
 
-func (h *Host) followStore(ctx context.Context) {
+// followStore reads the platform's store over transport until ctx ends.
+func (h *Host) followStore(ctx context.Context, transport http.RoundTripper) {
 	store := &wqkv.Store{Client: &wqstore.Client{
-		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: quickTransport()},
+		Address: h.Settings.Store, Timeout: storeTimeout, HTTP: &http.Client{Transport: transport},
 	}}
 	f := &wqfeed.Feed[*wqkv.Store]{
 		Name: storeName, Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
