End a watch of the store within the time in which a change must be in force

Cause: a watch that was in progress, or begun, while the store took calls and answered none ended after 4 s and a timeout of 1 s, whatever the store did meanwhile; the next one could hang as long, after a pause of up to 1.2 s. All VMs begin their watches together, 300 ms after a change, so none was ahead for the others to ask. Change: the wait of a watch follows from the platform's own bounds: 1.6 s where a change must be in force in 3 s, 3.6 s where 5 s are allowed. After a failed call a watch waits 100 ms only, so that a source that still hangs is given up after its timeout, and the time of the failed call counts as pause. Why it works: from the return of the store to the next call pass 2.6 s and 100 ms at most, in a series of failures 1.1 s; 300 ms are left for the answer.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -40,7 +40,9 @@
 
 const (
 	storeTimeout = time.Second            // storeTimeout bounds a call to the store beyond a watch's wait; an answer takes 4 ms, or 240 ms when it is slow.
-	watchWait    = 4 * time.Second        // watchWait bounds how long a watch that fell silent goes unnoticed.
+	retryReserve = 400 * time.Millisecond // retryReserve is kept for the call after one that was never answered: its pause, a slow answer, and putting that in force.
+	mostWait     = 4 * time.Second        // mostWait and leastWait bound a watch's wait whatever the platform's bounds are.
+	leastWait    = 500 * time.Millisecond
 	watchRest    = 300 * time.Millisecond // watchRest joins changes that come together; they are due within seconds.
 	// firstJoinTime is how long VMs look for each other when the whole fleet
 	// starts for the first time, within 0.3 s.
@@ -124,11 +126,21 @@
 	}}
 	f := &wqfeed.Feed[*wqkv.Store]{
 		Name: storeName, Source: store, AsOf: h.keeper.AsOf, Deliver: h.keeper.Deliver,
-		Wait: watchWait, Rest: watchRest, Reached: func(ok bool) { h.storeAway.Store(!ok) }, Await: h.keeper.AwaitTurn, Log: h.Log,
+		Wait: watchWait(h.Settings.NewsLimit), Rest: watchRest, Reached: func(ok bool) { h.storeAway.Store(!ok) }, Await: h.keeper.AwaitTurn, Log: h.Log,
 	}
 	f.Run(ctx)
 }
 
+// watchWait returns how long a watch of the store waits. A store that falls
+// silent for a moment leaves the watch in progress without an answer, so the
+// wait, the timeout and one more call have to fit within the limit for changes.
+func watchWait(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return mostWait
+	}
+	return min(max(limit-storeTimeout-retryReserve, leastWait), mostWait)
+}
+
 func (h *Host) newRelay(hubs wqrelay.Hubs) *wqrelay.Relay[*wqegress.Sender] {
 	return &wqrelay.Relay[*wqegress.Sender]{
 		Plan: h.keeper.Plan, Sender: &wqegress.Sender{Client: h.client}, Board: wqpulse.New(), Zone: h.Settings.Zone,
--- a/io/wqfeed/feed.go
+++ b/io/wqfeed/feed.go
@@ -7,7 +7,9 @@
 //	f.Run(ctx) // until ctx ends
 //
 // A source that has forgotten the changes since AsOf is listed whole. A failing
-// source is asked again after a pause that doubles up to a bound.
+// source is asked again after a pause that doubles up to a bound, by watches that
+// hardly wait: one that neither fails nor answers is then given up after the
+// source's own timeout.
 package wqfeed
 
 import (
@@ -26,6 +28,8 @@
 const (
 	firstPause = 100 * time.Millisecond // firstPause is the wait after the first failed call.
 	mostPause  = 800 * time.Millisecond // mostPause bounds it, so that a source that returns is noticed within a second.
+	spread     = 100 * time.Millisecond // spread keeps VMs that failed together from calling together.
+	retryWait  = 100 * time.Millisecond // retryWait is how long a watch waits for changes after a failed call.
 )
 
 // Source is where items come from.
@@ -42,7 +46,7 @@
 	Source  S
 	AsOf    func() uint64                         // AsOf returns the revision up to which all is known; 0 is nothing.
 	Deliver func(context.Context, wqmirror.Batch) // Deliver takes a batch; it returns once AsOf includes it.
-	Wait    time.Duration                         // Wait is how long one watch waits for changes.
+	Wait    time.Duration                         // Wait is how long one watch waits for changes, and so how long a source may hang unnoticed.
 	Await   func(context.Context)                 // Await returns when the source is to be asked; it is called before each call.
 	Rest    time.Duration                         // Rest is the time between a change and the next watch, so that several are read in one call.
 	Reached func(bool)                            // Reached is told whether the latest call was answered.
@@ -78,7 +82,11 @@
 	if after == 0 {
 		return f.Source.List(ctx)
 	}
-	b, err := f.Source.Watch(ctx, after, f.Wait)
+	wait := f.Wait
+	if f.failures > 0 {
+		wait = min(wait, retryWait)
+	}
+	b, err := f.Source.Watch(ctx, after, wait)
 	if errors.Is(err, ErrForgotten) {
 		f.Log.Info("source forgot its history", "source", f.Name, "as_of", after)
 		return f.Source.List(ctx)
@@ -104,7 +112,7 @@
 	}
 	f.Reached(false)
 	pause := min(firstPause<<min(f.failures-1, 10), mostPause)
-	sleep(ctx, pause/2+rand.N(pause)) // Spreads the calls of VMs that failed together.
+	sleep(ctx, max(pause/2+rand.N(pause)-took, rand.N(spread)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
