Ask another peer that is ahead when the one furthest ahead does not answer

A VM that the store alone refuses, while the peer that it heard furthest ahead dies, asks it every 400 ms and learns nothing until another one reports as high a revision. Cause: wqlag kept one peer a side, the furthest ahead. Change: it keeps all that are ahead, asks those first that have not failed to answer, then the one asked longest ago, and forgets those that know no more.

--- a/core/wqlag/lag.go
+++ b/core/wqlag/lag.go
@@ -16,6 +16,7 @@
 package wqlag
 
 import (
+	"maps"
 	"time"
 
 	"wisteriaquay/core/wqmember"
@@ -46,19 +47,24 @@
 type Lag struct {
 	Zone string // Zone is this VM's own.
 
-	near     lead
-	far      lead
+	near     side
+	far      side
 	asOf     uint64    // asOf is the revision that this VM knew at the last call.
 	movedAt  time.Time // movedAt is when that last grew.
 	askedAt  time.Time // askedAt is when a peer was asked last; zero is never.
 	askedFor uint64    // askedFor is the revision that this VM knew then.
-	askedID  string
 }
 
-// lead is the peer that is furthest ahead.
+// side holds the peers that are ahead in the own zone, or in all others.
+type side struct {
+	ahead map[string]*lead // ahead are by id.
+	since time.Time        // since is when some peer was first heard to be ahead.
+}
+
+// lead is one peer that is ahead.
 type lead struct {
-	member wqmember.Member
-	since  time.Time // since is when some peer was first heard to be ahead.
+	member  wqmember.Member
+	askedAt time.Time // askedAt is when it was asked and has not answered since; zero is not.
 }
 
 // Heard notes what a peer knows. AsOf is the revision that this VM knows.
@@ -67,21 +73,28 @@
 	if from.Revision <= asOf {
 		return
 	}
-	side := &l.far
+	s := &l.far
 	if from.Zone == l.Zone {
-		side = &l.near
+		s = &l.near
 	}
-	if side.member.Revision <= asOf {
-		side.since = now
+	if len(s.ahead) == 0 {
+		s.ahead, s.since = make(map[string]*lead), now
 	}
-	if from.Revision >= side.member.Revision {
-		side.member = from
+	if known := s.ahead[from.ID]; known == nil {
+		s.ahead[from.ID] = &lead{member: from}
+	} else if from.Revision >= known.member.Revision {
+		known.member = from
 	}
 }
 
+// move notes what this VM knows now, and forgets the peers that know no more.
 func (l *Lag) move(now time.Time, asOf uint64) {
-	if asOf != l.asOf {
-		l.asOf, l.movedAt = asOf, now
+	if asOf == l.asOf {
+		return
+	}
+	l.asOf, l.movedAt = asOf, now
+	for _, s := range []*side{&l.near, &l.far} {
+		maps.DeleteFunc(s.ahead, func(_ string, p *lead) bool { return p.member.Revision <= asOf })
 	}
 }
 
@@ -93,23 +106,37 @@
 		return wqmember.Member{}, false
 	}
 	chosen := l.choose(now, reads)
-	l.askedAt, l.askedFor, l.askedID = now, asOf, chosen.ID
-	return chosen, true
+	chosen.askedAt = now
+	l.askedAt, l.askedFor = now, asOf
+	return chosen.member, true
 }
 
-// choose prefers the own zone, unless its peer has just failed to answer.
-func (l *Lag) choose(now time.Time, reads bool) wqmember.Member {
-	near, far := l.wait(&l.near, reads), l.wait(&l.far, reads)
-	failed := l.unanswered() && l.askedID == l.near.member.ID
-	if !near.IsZero() && !now.Before(near) && (far.IsZero() || !failed) {
-		return l.near.member
+// choose prefers the own zone, unless its peers have failed to answer.
+func (l *Lag) choose(now time.Time, reads bool) *lead {
+	near, far := l.near.best(), l.far.best()
+	switch {
+	case near == nil || now.Before(l.wait(&l.near, reads)):
+		return far
+	case far == nil || !far.before(near):
+		return near
 	}
-	if !far.IsZero() {
-		return l.far.member
+	return far
+}
+
+// best returns the peer to ask first, nil when none is ahead.
+func (s *side) best() *lead {
+	var best *lead
+	for _, p := range s.ahead {
+		if best == nil || p.before(best) || !best.before(p) && p.member.Revision > best.member.Revision {
+			best = p
+		}
 	}
-	return l.near.member
+	return best
 }
 
+// before reports whether one peer was not asked for longer than another one.
+func (p *lead) before(o *lead) bool { return p.askedAt.Before(o.askedAt) }
+
 // Due returns when a peer is to be asked; zero when none is ahead.
 func (l *Lag) Due(now time.Time, asOf uint64, reads bool) time.Time {
 	l.move(now, asOf)
@@ -129,10 +156,10 @@
 // unanswered reports whether nothing was learned since the last question.
 func (l *Lag) unanswered() bool { return !l.askedAt.IsZero() && l.askedFor == l.asOf }
 
-// wait returns from when on the peer of one side may be asked; zero when it is not
+// wait returns from when on the peers of one side may be asked; zero when none is
 // ahead.
-func (l *Lag) wait(side *lead, reads bool) time.Time {
-	if side.member.Revision <= l.asOf {
+func (l *Lag) wait(s *side, reads bool) time.Time {
+	if len(s.ahead) == 0 {
 		return time.Time{}
 	}
 	patience := time.Duration(0)
@@ -141,10 +168,10 @@
 		patience = startPatience
 	case reads:
 		patience = storePatience
-	case side == &l.far && l.asOf == 0:
+	case s == &l.far && l.asOf == 0:
 		patience = farStart
-	case side == &l.far:
+	case s == &l.far:
 		patience = farPatience
 	}
-	return wqmoment.Later(side.since, l.movedAt).Add(patience)
+	return wqmoment.Later(s.since, l.movedAt).Add(patience)
 }
--- a/core/wqlag/lag_test.go
+++ b/core/wqlag/lag_test.go
@@ -91,3 +91,14 @@
 	must.Eq(t, at(30), l.Due(at(0), 0, false))
 	must.Eq(t, "far", asks(l, 30, 0))
 }
+
+func TestPeerThatIsLessAheadIsAskedWhenTheFurthestDoesNotAnswer(t *testing.T) {
+	l := &wqlag.Lag{Zone: "a"}
+	l.Heard(at(0), peer("dead", "a", 9), 5)
+	l.Heard(at(10), peer("live", "a", 8), 5)
+	must.Eq(t, "dead", asks(l, 10, 5))
+	must.Eq(t, "live", asks(l, 410, 5))
+	must.Eq(t, "dead", asks(l, 810, 8), must.Sprint("only this one has more"))
+	l.Heard(at(820), peer("other", "b", 9), 8)
+	must.Eq(t, "other", asks(l, 1210, 8))
+}
