Bound what all replies hold while they are read, for searchers that send without end

Seen by callers: nothing yet; new in the platform's description of searchers in trouble. Each such reply is closed at its bound, but a fan-out reaches many: 100 bodies without end held 1,320 MB (855 MB without the race detector) on VMs of 284 MB, whose process is killed above them. Cause: the bound of 8 MB was for each reply; nothing bounded their sum. Change: beside 64 KB of each reply, the replies being read have 8 MB together; one that finds no room is closed and tried elsewhere like any broken answer. The runtime collects garbage from 0.7 of the VM's memory on. Evidence: TestManyBodiesWithoutEndStayWithinTheMemory failed before; 25 of 25 runs under the race detector pass. TestBytesWithoutEndCloseTheConnection, ten forms of bytes without end in heads and bodies, passed before as well.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -47,7 +48,10 @@
 	// firstJoinTime is how long VMs look for each other when the whole fleet
 	// starts for the first time, within 0.3 s.
 	firstJoinTime = 500 * time.Millisecond
-	firstBody     = 1 << 20 // firstBody bounds a body before the configuration is known, in bytes.
+	// memoryShare is the part of the memory at which garbage is collected without
+	// regard to its price; the rest is for what the runtime does not count.
+	memoryShare = 0.7
+	firstBody   = 1 << 20 // firstBody bounds a body before the configuration is known, in bytes.
 )
 
 // storeName is what logs and metrics call the platform's store.
@@ -74,6 +78,9 @@
 
 // Run serves until ctx ends, and then stops in order.
 func (h *Host) Run(ctx context.Context) error {
+	if h.Settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(h.Settings.Memory)))
+	}
 	h.metrics = wqmetric.New()
 	h.keeper = wqkeeper.New(h.self(), wqitem.Decode)
 	h.keeper.Log = h.Log
--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wisteriaquay/core/wqtopology"
@@ -42,6 +43,13 @@
 	defaultStaleAfter = 5 * time.Second
 	// defaultReplyBytes bounds the body of a reply, in bytes.
 	defaultReplyBytes = 8 << 20
+	// defaultBufferBytes bounds the bodies that are being read, in bytes: searchers
+	// in trouble may send them without end, and a buffer that grows takes three
+	// times its size. The smallest VMs have 184 MB.
+	defaultBufferBytes = 8 << 20
+	// smallReply is what each reply may hold beside that, in bytes; replies of a
+	// few records are well below it.
+	smallReply = 64 << 10
 )
 
 // Client sends requests to searchers. Set the exported fields before the first
@@ -49,13 +57,15 @@
 type Client struct {
 	ConnectTimeout time.Duration                // ConnectTimeout bounds the making of a connection.
 	ReplyBytes     int64                        // ReplyBytes bounds the body of a reply, in bytes.
+	BufferBytes    int64                        // BufferBytes bounds the bodies of all replies that are being read, in bytes, beside the first 64 KB of each.
 	LateReply      time.Duration                // LateReply is how much longer than its time the reply to a write-like request is waited for.
 	StaleAfter     time.Duration                // StaleAfter is how long a connection is unused before its end means nothing, while others are open.
 	Usable         func(searcherID string) bool // Usable reports whether a searcher may be sent anything; it is asked right before the first byte of a request.
 	Lost           func(searcherID string)      // Lost is called when a searcher closes an idle connection, and when the last one closes: it may have restarted.
 
-	mu    sync.RWMutex
-	links map[string]*link
+	mu       sync.RWMutex
+	links    map[string]*link
+	buffered atomic.Int64 // buffered is what the replies being read hold of BufferBytes.
 }
 
 // New returns a Client and the function that closes its connections.
@@ -63,6 +73,7 @@
 	c := &Client{
 		ConnectTimeout: defaultConnectTimeout,
 		ReplyBytes:     defaultReplyBytes,
+		BufferBytes:    defaultBufferBytes,
 		LateReply:      defaultLateReply,
 		StaleAfter:     defaultStaleAfter,
 		Usable:         func(string) bool { return true },
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -157,23 +157,35 @@
 	return l.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 }
 
+// read returns the body of a reply. A body beyond smallReply bytes is buffered as
+// far as the replies that are being read have room together.
 func (x *exchange) read(ctx context.Context, response *http.Response) ([]byte, error) {
 	bound := x.client.ReplyBytes
 	if response.ContentLength > bound {
 		return nil, x.broken(fmt.Sprintf("the reply of %d bytes is over the bound of %d", response.ContentLength, bound))
 	}
 	var buffer bytes.Buffer
-	if response.ContentLength > 0 {
-		buffer.Grow(int(response.ContentLength) + bytes.MinRead)
-	}
-	n, err := buffer.ReadFrom(io.LimitReader(response.Body, bound+1))
-	if err != nil {
-		return nil, x.failed(ctx, err)
-	}
-	if n > bound {
-		return nil, x.broken(fmt.Sprintf("the reply is over the bound of %d bytes", bound))
+	held := int64(0)
+	defer func() { x.client.buffered.Add(-held) }()
+	for limit := max(min(smallReply, bound), response.ContentLength); ; limit = min(2*limit, bound) {
+		more := max(0, limit-smallReply-held)
+		held += more
+		if x.client.buffered.Add(more) > x.client.BufferBytes {
+			return nil, x.broken(fmt.Sprintf("the replies that are being read are over %d bytes together", x.client.BufferBytes))
+		}
+		if response.ContentLength > 0 {
+			buffer.Grow(int(response.ContentLength) + bytes.MinRead)
+		}
+		if _, err := buffer.ReadFrom(io.LimitReader(response.Body, limit+1-int64(buffer.Len()))); err != nil {
+			return nil, x.failed(ctx, err)
+		}
+		switch n := int64(buffer.Len()); {
+		case n <= limit:
+			return buffer.Bytes(), nil
+		case n > bound:
+			return nil, x.broken(fmt.Sprintf("the reply is over the bound of %d bytes", bound))
+		}
 	}
-	return buffer.Bytes(), nil
 }
 
 // failed classifies an error of the transport by what left the process.
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -159,3 +162,79 @@
 	must.Eq(t, "h", r.Host)
 	must.Eq(t, 0, r.ContentLength)
 }
+
+// endless writes a beginning and then filler until the other side closes, and
+// returns how many bytes it got rid of.
+func endless(c net.Conn, beginning, filler string) int {
+	n, err := io.WriteString(c, beginning)
+	for err == nil {
+		var more int
+		more, err = io.WriteString(c, filler)
+		n += more
+	}
+	return n
+}
+
+func TestBytesWithoutEndCloseTheConnection(t *testing.T) {
+	line := strings.Repeat("a", 1000)
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+	for name, text := range map[string][2]string{
+		"first line":    {"HTTP/1.1 200 ", line},
+		"no HTTP":       {"", "\x00\x01\x02\x03"},
+		"header lines":  {head, "X: " + line + "\r\n"},
+		"one header":    {head + "X: ", line},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nX: " + line + "\r\n\r\n"},
+		"body":          {head + "\r\n", line},
+		"chunks":        {head + "Transfer-Encoding: chunked\r\n\r\n", "3e8\r\n" + line + "\r\n"},
+		"chunk size":    {head + "Transfer-Encoding: chunked\r\n\r\n3", line},
+		"trailer":       {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n", "X: " + line + "\r\n"},
+		"long length":   {head + "Content-Length: 1000000000000\r\n\r\n", line},
+	} {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan int, 1)
+			s, _ := raw(t, func(c net.Conn, _ int64, _ *http.Request) { written <- endless(c, text[0], text[1]) })
+			_, err := client(t).Forward(t.Context(), s, message("1"))
+			must.Error(t, err)
+			must.False(t, wqtarget.FailureOf(err).NotRun())
+			must.Less(t, 64<<20, <-written, must.Sprint("bytes until the connection was closed"))
+		})
+	}
+}
+
+// All searchers of a fan-out may be in trouble at once on a VM of 284 MB.
+func TestManyBodiesWithoutEndStayWithinTheMemory(t *testing.T) {
+	const (
+		searchers = 100
+		most      = 96 << 20 // A third of the memory.
+	)
+	s, _ := raw(t, func(c net.Conn, _ int64, _ *http.Request) {
+		endless(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", strings.Repeat("a", 32<<10))
+	})
+	s.Connections = searchers
+	c := client(t)
+	var highest uint64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wait sync.WaitGroup
+		for range searchers {
+			wait.Go(func() {
+				_, err := c.Forward(t.Context(), s, message("1"))
+				must.Error(t, err)
+			})
+		}
+		wait.Wait()
+	}()
+	var now runtime.MemStats
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(2 * time.Millisecond):
+		}
+		runtime.GC() // What is garbage already is not counted.
+		runtime.ReadMemStats(&now)
+		highest = max(highest, now.HeapAlloc)
+	}
+	must.Less(t, most, highest)
+}
