Refuse a request whose body does not arrive within its route's time

A body that stops arriving kept its request open for ever: the time of the route was first looked at once the body was whole. Change: reading a body ends when the request may take no longer, by the route's timeout and the caller's deadline, and is answered 408: nothing was sent to a searcher. A body over the limit gets a line in the log as well.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -159,7 +159,7 @@
 
 // callers returns the handler of callers' requests.
 func (h *Host) callers() http.Handler {
-	handler := &wqingress.Handler{Serve: h.relay.Serve, BodyLimit: h.bodyLimit}
+	handler := &wqingress.Handler{Serve: h.relay.Serve, Refuse: h.relay.Refuse, Allowed: h.relay.Allowed, BodyLimit: h.bodyLimit}
 	return wqstop.LastAnswers(handler, func() bool { return h.keeper.Plan().Stopping })
 }
 
--- a/core/wqcall/reply.go
+++ b/core/wqcall/reply.go
@@ -11,6 +11,7 @@
 	NotRun                    // NotRun means that no searcher ran the call and none will.
 	NoRoute                   // NoRoute means that the configuration has no route for the call.
 	TooLarge                  // TooLarge means that the body is over the limit; nothing ran.
+	TooSlow                   // TooSlow means that the body did not arrive within the time that the call may take; nothing ran.
 	Malformed                 // Malformed means that the call lacks what every call needs; nothing ran.
 	Unavailable               // Unavailable means that searchers failed; the call may have run.
 	TimedOut                  // TimedOut means that the time ran out; the call may have run.
@@ -19,7 +20,7 @@
 
 // String returns the status's name in logs and metrics.
 func (s Status) String() string {
-	return [...]string{"answered", "not_run", "no_route", "too_large", "malformed", "unavailable", "timed_out", "caller_gone"}[s]
+	return [...]string{"answered", "not_run", "no_route", "too_large", "too_slow", "malformed", "unavailable", "timed_out", "caller_gone"}[s]
 }
 
 // Reply is how a call ended.
--- a/core/wqplan/plan.go
+++ b/core/wqplan/plan.go
@@ -40,5 +40,14 @@
 	return len(p.Hubs), p.IsHub
 }
 
+// Match returns the route of a request, nil when there is none or no
+// configuration is known.
+func (p *Plan) Match(host, path string) *wqroute.Route {
+	if p.Table == nil {
+		return nil
+	}
+	return p.Table.Match(host, path)
+}
+
 // Ready reports whether callers should be sent to this VM.
 func (p *Plan) Ready() bool { return p != nil && p.Table != nil && !p.Stopping }
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// Refuse answers a call that did not arrive whole.
+func (r *Relay[S]) Refuse(c *wqcall.Call, s wqcall.Status, reason string) wqcall.Reply {
+	reply, plan := wqcall.Reply{Status: s, Reason: reason}, r.Plan()
+	r.record(c, plan, plan.Match(c.Host, c.Path), &reply)
+	return reply
+}
+
+// Allowed returns how long a call may take from its arrival, 0 when that is not
+// bounded.
+func (r *Relay[S]) Allowed(c *wqcall.Call) time.Duration {
+	if route := r.Plan().Match(c.Host, c.Path); route != nil {
+		return allowed(c, route)
+	}
+	return c.Wait
+}
+
 func (r *Relay[S]) onRoute(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route) wqcall.Reply {
 	switch {
 	case route == nil:
