Begin the dealing of a weighted route anew when its parts change

After a version that names other weights or services under a route's name, its parts kept what they were owed before, in the old weights' unit: from weights of hundreds to weights of 1, the next dozens of requests of each VM went to one part. Cause: debts were kept by the route's name and the number of its parts. Change: they end with the parts and weights that they were counted for. Evidence: TestVersionWithOtherWeightsIsNotOwedTheDebtsOfTheOldOnes failed before.

--- a/core/wqroute/split.go
+++ b/core/wqroute/split.go
@@ -1,13 +1,23 @@
 package wqroute
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Split deals the requests of weighted routes out to their parts. Each route's
 // share of every part is exact to within one request at any moment, so that a
 // short run of requests shows the weights too. It is safe for concurrent use.
 type Split struct {
-	mutex sync.Mutex
-	debts map[string][]float64 // debts holds how many requests each part of a route is owed, by route name.
+	mutex  sync.Mutex
+	routes map[string]*deal // routes are by name.
+}
+
+// deal is what the parts of one route are owed. It ends when a version names
+// other parts or weights.
+type deal struct {
+	parts []Part
+	debts []float64 // debts are what each part is owed, in its weight's unit.
 }
 
 // Next returns the service that takes the next request of a route, empty for a
@@ -21,7 +31,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	debts := s.debt(r)
+	debts := s.deal(r).debts
 	best, total := 0, 0.0
 	for i, p := range r.Parts {
 		debts[i] += p.Weight
@@ -34,12 +44,14 @@
 	return r.Parts[best].Service
 }
 
-func (s *Split) debt(r *Route) []float64 {
-	if s.debts == nil {
-		s.debts = make(map[string][]float64)
+func (s *Split) deal(r *Route) *deal {
+	if s.routes == nil {
+		s.routes = make(map[string]*deal)
 	}
-	if len(s.debts[r.Name]) != len(r.Parts) {
-		s.debts[r.Name] = make([]float64, len(r.Parts))
+	d := s.routes[r.Name]
+	if d == nil || !slices.Equal(d.parts, r.Parts) {
+		d = &deal{parts: r.Parts, debts: make([]float64, len(r.Parts))}
+		s.routes[r.Name] = d
 	}
-	return s.debts[r.Name]
+	return d
 }
--- a/core/wqroute/table_test.go
+++ b/core/wqroute/table_test.go
@@ -48,3 +48,15 @@
 		}
 	})
 }
+
+func TestVersionWithOtherWeightsIsNotOwedTheDebtsOfTheOldOnes(t *testing.T) {
+	var s wqroute.Split
+	for range 7 {
+		s.Next(&wqroute.Route{Name: "r", Parts: []wqroute.Part{{Service: "a", Weight: 300}, {Service: "b", Weight: 500}}})
+	}
+	got := make(map[string]int)
+	for range 20 {
+		got[s.Next(&wqroute.Route{Name: "r", Parts: []wqroute.Part{{Service: "a", Weight: 1}, {Service: "c", Weight: 1}}})]++
+	}
+	must.Eq(t, map[string]int{"a": 10, "c": 10}, got)
+}
