--- a/io/wqfeed/feed.go
+++ b/io/wqfeed/feed.go
@@ -22,7 +22,7 @@
 	"wisteriaquay/core/wqmirror"
 )
 
-// ErrForgotten says that a source no longer has the changes that were asked for.
+// ErrForgotten says that a source can't give the changes that were asked for.
 var ErrForgotten = errors.New("the source has forgotten the changes since that revision; list it whole")
 
 const (
@@ -88,7 +88,7 @@
 	}
 	b, err := f.Source.Watch(ctx, after, wait)
 	if errors.Is(err, ErrForgotten) {
-		f.Log.Info("source forgot its history", "source", f.Name, "as_of", after)
+		f.Log.Info("source forgot its history", "source", f.Name, "as_of", after, "error", err.Error())
 		return f.Source.List(ctx)
 	}
 	return b, err
