Give searchers of services that the configuration doesn't list their usual connections

A route may name a service that the list of services lacks; each VM then kept one connection to each of its searchers, and requests on that route waited for it. Change: such a searcher is taken to accept 30 connections over all VMs.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -182,6 +182,10 @@
 // free: searchers take fewer while their queue is long, and VMs come and go.
 const connectionReserve = 0.15
 
+// unstatedConnections is how many connections a searcher is taken to accept when
+// the configuration doesn't list its service: as many as the smallest listed ones.
+const unstatedConnections = 30
+
 // limited is what the searchers of a service were told last.
 type limited struct {
 	share   int
@@ -201,7 +205,11 @@
 		if shards[service] {
 			sharers, own = p.Sharers()
 		}
-		share := max(1, int(float64(p.Table.Services[service].Connections)*(1-connectionReserve)/float64(sharers)))
+		accepted := p.Table.Services[service].Connections
+		if accepted <= 0 {
+			accepted = unstatedConnections
+		}
+		share := max(1, int(float64(accepted)*(1-connectionReserve)/float64(sharers)))
 		if !own {
 			share = 1
 		}
