--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -181,6 +181,7 @@
 // heal ends all faults and starts the VMs that are down.
 func (s *soak) heal() {
 	s.Store.SetDown(false)
+	s.Store.SetSilent(false)
 	s.Store.Remove("op/evacuate/a")
 	for _, searcher := range s.All() {
 		searcher.Behave(wqplatform.Behaviour{})
--- a/test/soak/step_test.go
+++ b/test/soak/step_test.go
@@ -60,13 +60,16 @@
 }
 
 func (s *soak) storeTrouble(*wqplatform.VM, *wqplatform.Searcher) {
-	switch s.random.IntN(3) {
+	switch s.random.IntN(4) {
 	case 0:
 		s.Store.SetDown(true)
 	case 1:
 		s.Store.SetDown(false)
+		s.Store.SetSilent(false)
 	case 2:
 		s.Store.Forget()
+	case 3:
+		s.Store.SetSilent(true)
 	}
 	s.note("store")
 }
--- a/test/tier/path_test.go
+++ b/test/tier/path_test.go
@@ -128,6 +128,23 @@
 	checkPromises(t, f, wqplatform.Shards(1, shards-1))
 }
 
+func TestChangeAfterTheStoreFellSilentReachesAllVMsInTime(t *testing.T) {
+	f := start(t, 3)
+	f.Configure(f.Configuration(3, cut1)) // All VMs begin their next call together.
+	time.Sleep(700 * time.Millisecond)
+	f.Store.SetSilent(true)
+	time.Sleep(6 * time.Second)
+	f.Store.SetSilent(false)
+	next := f.Configuration(5, cut1)
+	next.Routes = next.Routes[:2] // The write route is gone.
+	f.Configure(next)
+	time.Sleep(wqplatform.ApplyBound)
+	for _, vm := range f.VMs {
+		must.Eq(t, http.StatusNotFound, f.Ask(vm, http.MethodPost, "/write/a", "", time.Second).Code)
+	}
+	checkPromises(t, f)
+}
+
 func TestVMStartsWhileTheStoreIsDown(t *testing.T) {
 	f := start(t, 3)
 	f.Configure(f.Configuration(4, cut1))
--- a/test/wqplatform/fleet.go
+++ b/test/wqplatform/fleet.go
@@ -177,6 +177,9 @@
 control = %q
 [bounds]
 graceS = %d
+configApplyMs = 3000
+drainMs = 3000
+evacuateMs = 5000
 retryBudgetRatio = 0.2
 budgetWindowS = 10
 budgetSlack = 50
--- a/test/wqplatform/store.go
+++ b/test/wqplatform/store.go
@@ -38,6 +38,8 @@
 	oldest  uint64 // oldest is the revision before the first change that is remembered.
 	changed chan struct{}
 	down    bool
+	silent  bool
+	hushes  int // hushes counts how often it fell silent; calls from before get no answer.
 	calls   int
 }
 
@@ -91,6 +93,18 @@
 	s.wake()
 }
 
+// SetSilent takes calls and answers none while it is true, nor those in progress
+// when it began.
+func (s *Store) SetSilent(silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if silent && !s.silent {
+		s.hushes++
+	}
+	s.silent = silent
+	s.wake()
+}
+
 // Calls counts the calls so far.
 func (s *Store) Calls() int {
 	s.mutex.Lock()
@@ -128,6 +142,11 @@
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request) {
 	s.mutex.Lock()
+	if s.silent {
+		s.mutex.Unlock()
+		<-r.Context().Done()
+		return
+	}
 	defer s.mutex.Unlock()
 	if s.refused(w) {
 		return
@@ -152,8 +171,16 @@
 	millis, _ := strconv.Atoi(r.FormValue("waitMs"))
 	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
 	defer timer.Stop()
+	s.mutex.Lock()
+	hushes := s.hushes
+	s.mutex.Unlock()
 	for over := false; ; {
 		s.mutex.Lock()
+		if s.silent || s.hushes != hushes {
+			s.mutex.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		if s.refused(w) {
 			s.mutex.Unlock()
 			return
