Remember the roster in one place

The keeper kept two copies of the roster's number, for the fleet's size and for roles, one of them with one added. Both are worked out in one place now, before heartbeats are sent; a list of seeds counts the fleet itself.

--- a/io/wqkeeper/keeper.go
+++ b/io/wqkeeper/keeper.go
@@ -79,9 +79,8 @@
 	hubs      []*wqdirectory.Target
 	isHub     bool
 	startedAt time.Time
-	rosterAt  uint64 // rosterAt is the roster that roles were chosen from, once chosen is true.
+	rosterAt  uint64 // rosterAt is the roster that the fleet was counted from, and roles once chosen is true.
 	chosen    bool
-	countedAt uint64 // countedAt is the roster that the fleet was counted from.
 	alone     bool   // alone is true while no peer answers.
 	watches   bool   // watches is true while this VM reads the store.
 	crowd     bool   // crowd is true while there are VMs that do not.
--- a/io/wqkeeper/members.go
+++ b/io/wqkeeper/members.go
@@ -60,8 +60,9 @@
 	for _, a := range addresses {
 		listed = append(listed, wqmember.Listed{ID: a, Address: a})
 	}
-	k.seeds, k.countedAt = len(listed), 0
+	k.seeds = len(listed)
 	k.members.Seed(now, listed)
+	k.recount()
 }
 
 func (k *Keeper) beat(now time.Time, h *heartbeat) {
@@ -99,7 +100,7 @@
 
 // beats sends the heartbeats that are due and returns when the next ones are.
 func (k *Keeper) beats(now time.Time) time.Time {
-	k.chooseRoles(now)
+	k.followRoster(now)
 	if k.crowd {
 		k.members.SetRevision(now, k.told) // Tells the neighbours at once.
 	} else {
@@ -109,7 +110,6 @@
 		k.Peers.Heartbeat(s)
 	}
 	k.catchUp(now)
-	k.recount()
 	next := k.members.Next()
 	if !k.chosen {
 		next = wqmoment.Earlier(next, k.startedAt.Add(k.JoinTime))
@@ -120,13 +120,18 @@
 	return next
 }
 
+// followRoster works out what depends on which VMs there are, when that changes.
+func (k *Keeper) followRoster(now time.Time) {
+	moved := k.rosterAt != k.members.Roster()
+	if moved {
+		k.rosterAt = k.members.Roster()
+		k.recount()
+	}
+	k.chooseRoles(now, moved)
+}
+
 // recount notices that the fleet's size has changed.
 func (k *Keeper) recount() {
-	roster := k.members.Roster() + 1 // One more, so that the first count is made.
-	if k.countedAt == roster {
-		return
-	}
-	k.countedAt = roster
 	if fleet := k.countFleet(); fleet != k.fleet {
 		k.Log.Info("fleet", "vms", fleet, "before", k.fleet)
 		k.fleet, k.dirty = fleet, true
--- a/io/wqkeeper/watch.go
+++ b/io/wqkeeper/watch.go
@@ -64,15 +64,15 @@
 
 // chooseRoles works out who reads the store and who runs fan-outs. A VM that
 // hears nobody does both itself.
-func (k *Keeper) chooseRoles(now time.Time) {
+func (k *Keeper) chooseRoles(now time.Time, moved bool) {
 	if now.Before(k.startedAt.Add(k.JoinTime)) {
 		return
 	}
 	alone := wqmember.Elapsed(k.members.FreshAt(), now) > aloneAfter
-	if k.chosen && alone == k.alone && k.rosterAt == k.members.Roster() {
+	if k.chosen && alone == k.alone && !moved {
 		return
 	}
-	k.rosterAt, k.chosen, k.alone = k.members.Roster(), true, alone
+	k.chosen, k.alone = true, alone
 	live := k.live()
 	k.chooseHubs(live)
 	policy := wqconfig.PerZone{Count: watchersPerZone}
