Give replies that are being read a tenth of the VM's memory; count silence from the first unanswered call

Replies of searchers may be long on other deployments, so the room that they share follows from the memory stated in the settings: 28 MB on VMs of 284 MB. silent_ms counted the time in which a VM was not a reader of the store as well; it counts from the beginning of the first failed call now.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -51,6 +51,7 @@
 	// memoryShare is the part of the memory at which garbage is collected without
 	// regard to its price; the rest is for what the runtime does not count.
 	memoryShare = 0.7
+	bufferShare = 0.1     // bufferShare is the part of the memory for searchers' answers that are being read.
 	firstBody   = 1 << 20 // firstBody bounds a body before the configuration is known, in bytes.
 )
 
@@ -93,6 +94,7 @@
 	h.keeper.Peers = peers
 	client, closeClient := wqtarget.New()
 	defer closeClient()
+	client.BufferBytes = max(client.BufferBytes, int64(bufferShare*float64(h.Settings.Memory)))
 	h.client = client
 	h.keeper.Prepare = h.limitConnections
 	h.relay = h.newRelay(peers)
--- a/io/wqfeed/feed.go
+++ b/io/wqfeed/feed.go
@@ -52,22 +52,21 @@
 	Reached func(bool)                            // Reached is told whether the latest call was answered.
 	Log     *slog.Logger
 
-	failures   int
-	answeredAt time.Time // answeredAt is when the source last answered, or when Run began.
+	failures    int
+	silentSince time.Time // silentSince is when the first of the failed calls began.
 }
 
 // Run follows the source until ctx ends.
 func (f *Feed[S]) Run(ctx context.Context) {
-	f.answeredAt = time.Now()
 	for ctx.Err() == nil {
 		f.Await(ctx)
 		began := time.Now()
 		b, err := f.next(ctx)
 		if err != nil {
-			f.fail(ctx, err, time.Since(began))
+			f.fail(ctx, err, began)
 			continue
 		}
-		f.succeed(time.Now())
+		f.succeed()
 		b.From = f.Name
 		f.Deliver(ctx, b)
 		if len(b.Items) > 0 {
@@ -94,25 +93,27 @@
 	return b, err
 }
 
-func (f *Feed[S]) succeed(now time.Time) {
+func (f *Feed[S]) succeed() {
 	if f.failures > 0 {
-		f.Log.Info("source answers again", "source", f.Name, "failures", f.failures, "silent_ms", now.Sub(f.answeredAt).Milliseconds())
+		f.Log.Info("source answers again", "source", f.Name, "failures", f.failures, "silent_ms", time.Since(f.silentSince).Milliseconds())
 	}
-	f.failures, f.answeredAt = 0, now
+	f.failures = 0
 	f.Reached(true)
 }
 
-func (f *Feed[S]) fail(ctx context.Context, err error, took time.Duration) {
+func (f *Feed[S]) fail(ctx context.Context, err error, began time.Time) {
 	if ctx.Err() != nil {
 		return
 	}
+	took := time.Since(began)
 	f.failures++
 	if f.failures == 1 {
+		f.silentSince = began
 		f.Log.Warn("source does not answer", "source", f.Name, "as_of", f.AsOf(), "took_ms", took.Milliseconds(), "error", err.Error())
 	}
 	f.Reached(false)
 	pause := min(firstPause<<min(f.failures-1, 10), mostPause)
-	sleep(ctx, max(pause/2+rand.N(pause)-took, rand.N(spread)))
+	sleep(ctx, max(pause/2+rand.N(pause)-took, rand.N(spread))) // A call that hung was a pause already.
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -45,7 +45,7 @@
 	defaultReplyBytes = 8 << 20
 	// defaultBufferBytes bounds the bodies that are being read, in bytes: searchers
 	// in trouble may send them without end, and a buffer that grows takes three
-	// times its size. The smallest VMs have 184 MB.
+	// times its size.
 	defaultBufferBytes = 8 << 20
 	// smallReply is what each reply may hold beside that, in bytes; replies of a
 	// few records are well below it.
