--- a/cmd/wqhost/follow_test.go
+++ b/cmd/wqhost/follow_test.go
@@ -55,8 +55,7 @@
 	}
 }
 
-// TestConfirmedChangesAreInForceInTimeUnderFaults draws faults that overlap.
-// Set WISTERIAQUAY_SEEDS to draw more.
+// The faults overlap; set WISTERIAQUAY_SEEDS to draw more runs.
 func TestConfirmedChangesAreInForceInTimeUnderFaults(t *testing.T) {
 	seeds := uint64(200)
 	if s := os.Getenv("WISTERIAQUAY_SEEDS"); s != "" {
@@ -71,6 +70,9 @@
 	}
 }
 
+// events are what a drawn run consists of, each as often as it stands here.
+var events = []string{"write", "write", "write", "write", "write", "store", "compact", "refuse", "refuse", "cut", "kill", "kill"}
+
 func playFaults(t *testing.T, random *rand.Rand) {
 	m := newModel(1 + random.IntN(14))
 	defer m.end()
@@ -85,26 +87,26 @@
 		m.watchOver(t, gap)
 		at += gap
 		d := between(200*time.Millisecond, 8*time.Second)
-		v, fault := m.vms[random.IntN(len(m.vms))], random.IntN(12)
-		t.Logf("at %v: fault %d, %v, on %s", at, fault, d, v.member.ID)
-		switch fault {
-		case 0, 1, 2, 3, 4:
+		v, event := m.vms[random.IntN(len(m.vms))], events[random.IntN(len(events))]
+		t.Logf("at %v: %s for %v, %s", at, event, d, v.member.ID)
+		switch event {
+		case "write":
 			go m.write()
-		case 5:
+		case "store":
 			if m.undisturbed() {
 				go m.disturb(manner(1+random.IntN(3)), d)
 			}
-		case 6:
+		case "compact":
 			go m.compact(time.Second)
-		case 7, 8:
+		case "refuse":
 			if m.mayRefuse(v) {
 				go v.refuse(manner(1+random.IntN(3)), d)
 			}
-		case 9:
+		case "cut":
 			if v.reachable() {
 				go v.cutOff(d)
 			}
-		default:
+		case "kill":
 			if v.reachable() {
 				go v.kill(between(10*time.Millisecond, time.Second), -time.Duration(random.IntN(2))*between(0, time.Minute))
 			}
--- a/cmd/wqhost/model_test.go
+++ b/cmd/wqhost/model_test.go
@@ -32,11 +32,12 @@
 
 // bounds are those of the users' small sites.
 const (
-	applyBound  = 3 * time.Second
-	touchBound  = 4 * time.Second
-	probesEnd   = 4 * time.Second        // probesEnd is when TCP gives up a connection that is cut.
-	connectEnd  = 500 * time.Millisecond // connectEnd is when a new connection is given up.
-	storeAnswer = 4 * time.Millisecond
+	applyBound = 3 * time.Second
+	touchBound = 4 * time.Second
+	probesEnd  = 4 * time.Second        // probesEnd is when TCP gives up a connection that is cut.
+	connectEnd = 500 * time.Millisecond // connectEnd is when a new connection is given up.
+	latency    = 4 * time.Millisecond   // latency is that of a call to the store, and of a message between VMs one way.
+	never      = time.Hour
 )
 
 // model is a fleet of control machines with their feeds, and a store. It runs in
@@ -214,7 +215,7 @@
 
 // RoundTrip is one call of this VM to the store.
 func (v *modelVM) RoundTrip(r *http.Request) (*http.Response, error) {
-	time.Sleep(storeAnswer)
+	time.Sleep(latency)
 	m, ctx := v.model, r.Context()
 	m.mutex.Lock()
 	silences, cuts, refusals := m.silences, v.cuts, v.refusals
@@ -237,7 +238,7 @@
 		case newCuts:
 			return nil, fail(ctx, probesEnd)
 		case how == silent || lost && how == serves:
-			return nil, fail(ctx, time.Hour)
+			return nil, fail(ctx, never)
 		case how == busy:
 			return reply(http.StatusServiceUnavailable, nil), nil
 		case how == resets || lost:
@@ -309,7 +310,7 @@
 func (v *modelVM) Heartbeat(s wqmember.Send) {
 	self := v.keeper
 	go func() {
-		time.Sleep(storeAnswer)
+		time.Sleep(latency)
 		to := v.reach(s.To.Address)
 		if to == nil {
 			time.Sleep(wqmember.DefaultTiming().AckTimeout)
@@ -317,7 +318,7 @@
 			return
 		}
 		answer, ok := to.Heard(context.Background(), s.Message)
-		time.Sleep(storeAnswer)
+		time.Sleep(latency)
 		if !ok || v.reach(s.To.Address) == nil {
 			self.Failed(s)
 			return
@@ -330,13 +331,13 @@
 func (v *modelVM) Fetch(from wqmember.Member, after uint64) {
 	self := v.keeper
 	go func() {
-		time.Sleep(storeAnswer)
+		time.Sleep(latency)
 		to := v.reach(from.Address)
 		if to == nil {
 			return
 		}
 		if b, ok := to.Since(context.Background(), after); ok && v.reach(from.Address) != nil {
-			time.Sleep(storeAnswer)
+			time.Sleep(latency)
 			self.Deliver(context.Background(), b)
 		}
 	}()
