Leave aside states from before a whole list, in whatever batch they come late

Seen by callers: none so far. Cause: a reply that comes late, such as a peer's that was overtaken by a list of the store, may name a key that was removed before the list. The copy has no removal for it, or an older one, takes the state as news, and never hears of the removal: a searcher that left stays in use. Change: a copy that was whole at a revision learns nothing from up to it any more.

--- a/core/wqmirror/mirror.go
+++ b/core/wqmirror/mirror.go
@@ -40,7 +40,7 @@
 type Mirror struct {
 	items    map[string]*state
 	asOf     uint64
-	complete uint64 // complete is the revision from which on removals are remembered.
+	complete uint64 // complete is the revision from which on removals are remembered; all states up to it are known or outdated.
 }
 
 type state struct {
@@ -77,7 +77,7 @@
 // learn keeps an item if it is newer than the known state of its key.
 func (m *Mirror) learn(now time.Time, i Item) bool {
 	known := m.items[i.Key]
-	if known != nil && known.item.Revision >= i.Revision {
+	if i.Revision <= m.complete || known != nil && known.item.Revision >= i.Revision {
 		return false
 	}
 	m.items[i.Key] = &state{item: i, learnedAt: now.Add(-i.Age)}
--- a/core/wqmirror/mirror_test.go
+++ b/core/wqmirror/mirror_test.go
@@ -124,3 +124,11 @@
 	}
 	return out
 }
+
+func TestLateBatchDoesNotBringBackWhatAWholeOneNoLongerNamed(t *testing.T) {
+	m := wqmirror.New()
+	m.Take(start, wqmirror.Batch{Whole: true, AsOf: 5})
+	m.Take(start, wqmirror.Batch{Whole: true, AsOf: 9}) // The key came at 7 and went at 8.
+	must.Len(t, 0, m.Take(start, wqmirror.Batch{Items: []wqmirror.Item{item("k", "v", 7)}, AsOf: 7}))
+	must.MapEmpty(t, state(m))
+}
