Send no part to a cancelled caller, and every answer that is ready at the deadline

Cause: select in fanOut.sendResults takes either of two ready channels. In the same way an answer that had arrived before the deadline was replaced by Expired. Change: results are dropped once the context is cancelled, and those that have arrived are added before the pending ones expire. TestAnswerReadyAtTheDeadlineIsSent fails on the code before, passes now.

--- a/io/wqholder/fanout.go
+++ b/io/wqholder/fanout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -124,31 +125,37 @@
 	defer timer.Stop()
 	timer.Stop()
 	for f.pending > 0 {
+		var err error
 		select {
 		case r := <-f.results:
-			if err := f.addResult(r, timer, gatherDelay, send); err != nil {
-				return err
+			// The cancellation also breaks the requests in flight, whose results must
+			// not be sent to an entry VM that has gone.
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return cancelledError(ctx)
 			}
+			err = f.addResult(r, timer, gatherDelay, send)
 		case <-timer.C:
-			if err := f.part.flush(send); err != nil {
-				return err
-			}
+			err = f.part.flush(send)
 		case <-ctx.Done():
 			return f.expirePending(ctx, send)
 		}
+		if err != nil {
+			return err
+		}
 	}
 	return f.part.flush(send)
 }
 
+func cancelledError(ctx context.Context) error {
+	return eris.Wrap(ctx.Err(), "the entry VM cancelled the request")
+}
+
 // addResult adds a result to the part. It sends the part first if it can't take the
 // result, and afterwards if it should not wait for more.
 func (f *fanOut) addResult(r result, timer *time.Timer, gatherDelay time.Duration, send func(*wqpb.FanPart) error) error {
 	p := &f.part
-	if !p.add(r) {
-		if err := p.flush(send); err != nil {
-			return err
-		}
-		p.add(r)
+	if err := p.addOrFlush(r, send); err != nil {
+		return err
 	}
 	if (p.sendNow || gatherDelay <= 0) && len(f.results) == 0 {
 		return p.flush(send)
@@ -163,7 +170,10 @@
 // passed. If ctx was cancelled before, it returns that as an error.
 func (f *fanOut) expirePending(ctx context.Context, send func(*wqpb.FanPart) error) error {
 	if ctx.Err() != context.DeadlineExceeded {
-		return eris.Wrap(ctx.Err(), "the entry VM cancelled the request")
+		return cancelledError(ctx)
+	}
+	if err := f.addReady(send); err != nil {
+		return err
 	}
 	p := &f.part
 	for i := range f.tasks {
@@ -175,6 +185,16 @@
 	return p.flush(send)
 }
 
+// addReady adds the results that have arrived by the deadline.
+func (f *fanOut) addReady(send func(*wqpb.FanPart) error) error {
+	for len(f.results) > 0 {
+		if err := f.part.addOrFlush(<-f.results, send); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // abandon abandons all tasks if results are pending. A request that is shared with
 // other fan-outs is cancelled once all its tasks are abandoned.
 func (f *fanOut) abandon() {
--- a/io/wqholder/part.go
+++ b/io/wqholder/part.go
@@ -43,6 +43,18 @@
 	return true
 }
 
+// addOrFlush adds a result; it first sends the part if that can't take the result.
+func (p *partBuilder) addOrFlush(r result, send func(*wqpb.FanPart) error) error {
+	if p.add(r) {
+		return nil
+	}
+	if err := p.flush(send); err != nil {
+		return err
+	}
+	p.add(r)
+	return nil
+}
+
 func (r result) answered() bool { return r.status == wqobservation.Answered && r.answer != nil }
 
 func (r result) sameShard(other result) bool {
--- a/io/wqholder/rules_test.go
+++ b/io/wqholder/rules_test.go
@@ -174,6 +174,32 @@
 	eventually(t, func() bool { return c.endedSearches.Load() == 1 })
 }
 
+// An answer that arrives before the deadline, while an earlier part is being sent,
+// is sent although the deadline has passed by then. Each round is one draw of the
+// select in sendResults.
+func TestAnswerReadyAtTheDeadlineIsSent(t *testing.T) {
+	for range 20 {
+		h, c, view := newPausedHolder(t)
+		view.Store(viewWithSearchers(2))
+		r := fanRequest(view.Load())
+		r.RemainingMicros = 30_000
+		var statuses []wqpb.SubStatus
+		c.answer <- nil
+		err := h.FanOut(context.Background(), r, func(p *wqpb.FanPart) error {
+			for _, result := range p.Results {
+				statuses = append(statuses, result.Status)
+			}
+			if len(statuses) == 1 {
+				c.answer <- nil
+				time.Sleep(40 * time.Millisecond)
+			}
+			return nil
+		})
+		must.NoError(t, err)
+		must.Eq(t, []wqpb.SubStatus{wqpb.SubStatus_SUB_STATUS_ANSWERED, wqpb.SubStatus_SUB_STATUS_ANSWERED}, statuses)
+	}
+}
+
 // At the deadline every sub-query has a result that says whether it was sent.
 func TestDeadlineEndsEverySubQuery(t *testing.T) {
 	h, c, view := newPausedHolder(t)
