Refuse registrations and configurations out of range; read items one by one

Cause: a cold start of 1e300 ms, -3 slots, a sequence of 2^63-1 or port 99999 were accepted; the conversion of such numbers depends on the processor, and a sequence that no later one exceeds keeps a searcher's state for good. One item of another type failed its whole page or watch reply, so that nothing after it was followed. Change: Registration.Problem and Table.Problem state the accepted ranges, a start in the future is ignored, addresses are an IP and a port, and the store's items are decoded one by one; an odd one is logged. TestRegistrationsOutOfRangeAreInvalid, TestConfigurationsOutOfRangeAreInvalid, TestMalformedItemsDoNotAffectTheOthers and TestPageWithoutReadableItemsFails fail on the code before.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -135,7 +135,7 @@
 func (h *Host) watchStore(ctx context.Context, transport http.RoundTripper) {
 	store := &wqkv.Store{Client: &wqstore.Client{
 		URL: h.Settings.StoreURL, Timeout: storeTimeout, HTTP: &http.Client{Transport: transport},
-	}}
+	}, Log: h.Log}
 	f := &wqlistwatch.Watcher[*wqkv.Store]{
 		Name: storeName, Source: store, StoreRevision: h.controller.StoreRevision, Deliver: h.controller.Deliver,
 		WatchTimeout: watchTimeout(h.Settings.MaxApplyDelay), CoalesceDelay: watchCoalesceDelay, OnCallDone: func(ok bool) { h.storeUnreachable.Store(!ok) }, AwaitTurn: h.controller.AwaitWatchRole, Log: h.Log,
--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -66,8 +66,11 @@
 
 // Register applies a registration that was made age ago. It returns false, and
 // changes nothing, for one of an older incarnation or with a lower sequence than
-// the registration on record.
+// the registration on record, and for an incarnation that starts in the future.
 func (d *Directory) Register(now time.Time, r Registration, age time.Duration) bool {
+	if r.startsInFuture(now) {
+		return false
+	}
 	if d.entries == nil {
 		d.entries, d.byService = make(map[string]*entry), make(map[string]map[string]*entry)
 		d.leaving, d.staleServices, d.pools = make(map[string]*entry), make(map[string]bool), make(Pools)
