End one send or one item after a panic, not the process

A panic in the goroutine of a send, or while the control goroutine decoded an item that every VM reads, ended the process, the latter again after each restart. TestPanicWhileSendingEndsOneRequest ended the test process before. TestResponseCutAtAnyByteFails shows that a response that is cut at any byte of its head, a chunk or a trailer is never taken for whole; it passed before too.

--- a/io/wqcontroller/controller.go
+++ b/io/wqcontroller/controller.go
@@ -20,6 +20,7 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -225,13 +226,25 @@
 	c.confirmedBy, c.confirmedAt = b.Source, now
 	changes := c.mirror.Merge(now, b)
 	for _, i := range changes {
-		c.apply(now, i, c.Decode(i))
+		c.apply(now, i, c.decodeRecovering(i))
 	}
 	if len(changes) > 0 {
 		c.changeRevision = c.mirror.StoreRevision()
 	}
 }
 
+// decodeRecovering decodes one item. After a panic the item counts as invalid:
+// every VM reads it, and would otherwise end again after each restart.
+func (c *Controller) decodeRecovering(i wqmirror.Item) (change wqchange.Change) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.Log.Error("panic while decoding an item; report it with this line", "key", i.Key, "revision", i.Revision, "panic", p, "stack", string(debug.Stack()))
+			change = wqchange.Change{Kind: wqchange.InvalidItem, Problem: "internal error"}
+		}
+	}()
+	return c.Decode(i)
+}
+
 func (c *Controller) apply(now time.Time, i wqmirror.Item, change wqchange.Change) {
 	switch change.Kind {
 	case wqchange.Configuration:
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"wisteriaquay/core/wqcall"
@@ -99,7 +100,7 @@
 	defer cancel()
 	start := time.Now()
 	inFlight := d.relay.Tracker.Start(start, s.Target.Searcher.ID)
-	result := d.relay.Sender.Send(ctx, s.Target, d.call, d.gather.Deadline.Sub(start))
+	result := d.sendRecovering(ctx, s, d.gather.Deadline.Sub(start))
 	now := time.Now()
 	result.Elapsed = now.Sub(start)
 	inFlight.Done(now, result.Outcome, d.latency.MeanLatency())
@@ -119,3 +120,15 @@
 	case <-ctx.Done():
 	}
 }
+
+// sendRecovering sends to one searcher. A panic ends this send only; the searcher may
+// have run the request.
+func (d *driver[S]) sendRecovering(ctx context.Context, s wqgather.Send, remaining time.Duration) (result wqsend.Result) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.relay.Log.Error("panic while sending; report it with this line", "request_id", d.call.ID, "searcher", s.Target.Searcher.ID, "panic", p, "stack", string(debug.Stack()))
+			result = wqsend.Result{Outcome: wqsend.Broken, Reason: "internal error"}
+		}
+	}()
+	return d.relay.Sender.Send(ctx, s.Target, d.call, remaining)
+}
--- a/io/wqrelay/relay_test.go
+++ b/io/wqrelay/relay_test.go
@@ -156,6 +156,22 @@
 	must.Eq(t, 0, s.sends.Load())
 }
 
+// panickingSender panics at every send.
+type panickingSender struct{}
+
+func (panickingSender) Send(context.Context, *wqdirectory.Target, *wqcall.Call, time.Duration) wqsend.Result {
+	panic("unexpected")
+}
+
+func TestPanicWhileSendingEndsOneRequest(t *testing.T) {
+	r, plan := newRelay(newFakeSender(false), nil)
+	panicking := &wqrelay.Relay[panickingSender]{
+		Plan: func() *wqplan.Plan { return plan }, Tracker: r.Tracker, Zone: r.Zone, RetryQuota: r.RetryQuota, Log: r.Log,
+	}
+	must.Eq(t, wqcall.Unavailable, panicking.Serve(t.Context(), newCall("/one/x")).Status)
+	must.Eq(t, wqcall.Unavailable, panicking.Serve(t.Context(), newCall("/all/x")).Status)
+}
+
 // failingSender answers every send with a searcher's own error response; its value
 // is the HTTP status code.
 type failingSender int
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -121,6 +121,41 @@
 	}
 }
 
+// A response that ends at any byte before its last one is no response, whatever its
+// framing, on a new connection as on one that has served a request. A body without a
+// framing ends with its connection, so only its head can be seen to be cut.
+func TestResponseCutAtAnyByteFails(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Stamp: stamp\r\n"
+	for name, response := range map[string]string{
+		"length":    head + "Content-Length: 16\r\n\r\n0123456789abcdef",
+		"chunks":    head + "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n",
+		"trailer":   head + "Transfer-Encoding: chunked\r\nTrailer: Part\r\n\r\n10\r\n0123456789abcdef\r\n0\r\nPart: 1\r\n\r\n",
+		"unframed":  head + "\r\n",
+		"no length": head + "Connection: close\r\n\r\n",
+	} {
+		for cut := range len(response) {
+			for _, kept := range []bool{false, true} {
+				s, _ := startRawSearcher(t, func(c net.Conn, n int64, _ *http.Request) {
+					if kept && n == 1 {
+						writeResponse(c, "1", "x")
+						return
+					}
+					_, _ = io.WriteString(c, response[:cut])
+					_ = c.Close()
+				})
+				c := newTestClient(t)
+				if kept {
+					_, err := c.Forward(t.Context(), s, forwardRequest("1"))
+					must.NoError(t, err)
+				}
+				_, err := c.Forward(t.Context(), s, forwardRequest("1"))
+				must.Error(t, err, must.Sprintf("%s cut after %d bytes, kept connection %v", name, cut, kept))
+				must.True(t, wqtarget.FailureOf(err).MaybeSent)
+			}
+		}
+	}
+}
+
 func TestResetResponseWithoutLengthFails(t *testing.T) {
 	s, _ := startRawSearcher(t, func(c net.Conn, _ int64, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc")
