Trace two red tests: watchers at a start in simulated time, counts after a kill

TestAcceptedChangeSurvivesKillOfAllVMs counted executions while searchers were still reading what the killed VMs had sent; it now counts once their connections are closed.

--- a/io/wqcontroller/controller_test.go
+++ b/io/wqcontroller/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -148,7 +149,14 @@
 	must.Eq(t, 4, c.Plan().Table.Version)
 }
 
+// The test runs in simulated time, since a VM whose heartbeats go unanswered for
+// longer than aloneTimeout on a busy machine watches the store too.
 func TestVMWithoutPeersWatchesTheStore(t *testing.T) {
+	synctest.Test(t, testVMWithoutPeersWatchesTheStore)
+}
+
+func testVMWithoutPeersWatchesTheStore(t *testing.T) {
+	t.Cleanup(func() { time.Sleep(time.Second) }) // All goroutines of the fleet must end with the test.
 	f := newFleet(t, 12)
 	time.Sleep(1500 * time.Millisecond)
 	isWatcher := func(c *wqcontroller.Controller) bool {
@@ -171,6 +179,17 @@
 		wait.BoolFunc(func() bool { return isWatcher(f.controllers[nonWatcher]) })))
 }
 
+// An item that makes the decoder panic must not end the process, nor keep the items
+// after it from being applied.
+func TestPanicWhileDecodingAffectsOneItem(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.controllers["10.0.0.0:1"]
+	b := configurationBatch(1)
+	b.Items = append([]wqmirror.Item{{Key: "empty", Revision: 9}}, b.Items...)
+	c.Deliver(t.Context(), b)
+	must.Eq(t, 1, c.Plan().Table.Version)
+}
+
 // TestPlanIsNotRebuiltWhenPeersOnlyReportRevisions guards against a new plan for
 // each heartbeat: they arrive many times a second, and a plan lists all searchers.
 func TestPlanIsNotRebuiltWhenPeersOnlyReportRevisions(t *testing.T) {
--- a/test/tier/recovery_test.go
+++ b/test/tier/recovery_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"wisteriaquay/test/wqfakeplatform"
 )
@@ -28,6 +30,15 @@
 	return n
 }
 
+// waitForClosedConnections waits until the searchers have read all requests of VMs
+// that are gone.
+func waitForClosedConnections(t *testing.T, f *wqfakeplatform.Fleet) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond), wait.BoolFunc(func() bool {
+		return !slices.ContainsFunc(f.AllSearchers(), func(s *wqfakeplatform.Searcher) bool { return s.OpenConnections() > 0 })
+	})))
+}
+
 // All VMs are killed right after the store accepted a change. They must apply it
 // after the restart, and serve no request with the previous configuration.
 func TestAcceptedChangeSurvivesKillOfAllVMs(t *testing.T) {
@@ -45,6 +56,7 @@
 	for _, vm := range f.VMs {
 		vm.Kill()
 	}
+	waitForClosedConnections(t, f) // Requests that the killed VMs sent are recorded before they are counted.
 	before := executionsIn(f, "b")
 	began := time.Now()
 	for _, vm := range f.VMs {
--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wisteriaquay/test/wqproxy"
@@ -52,15 +53,33 @@
 	executions []Execution
 	cancelled  int
 	server     *httptest.Server
+
+	openConnections atomic.Int64
 }
 
 func newSearcher(id, service, zone string) *Searcher {
 	s := &Searcher{ID: id, Service: service, Zone: zone, StartMillis: time.Now().UnixMilli()}
-	s.server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s.server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
+	s.server.Config.ConnState = s.countConnection
+	s.server.Start()
 	s.Address = strings.TrimPrefix(s.server.URL, "http://")
 	return s
 }
 
+// countConnection counts the connections that the server has not finished with.
+func (s *Searcher) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.openConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.openConnections.Add(-1)
+	}
+}
+
+// OpenConnections returns the number of connections whose requests may still be
+// read.
+func (s *Searcher) OpenConnections() int { return int(s.openConnections.Load()) }
+
 // SetBehaviour changes how the searcher handles requests that arrive from now on.
 func (s *Searcher) SetBehaviour(b Behaviour) {
 	s.mutex.Lock()
