Discover a fleet that starts together in seconds

Cause: a VM requested the full list of members once, when few were known, and a VM sent four lists and then two a second; heartbeats with six changes carried the rest. Hubs, watchers and shares of limits were computed from a part of the fleet. Change: after the start, a VM requests lists at 0.5, 1, 2, 4 and 8 s while digests differ, from a seed if it can; lists are bounded by their entries, not their number. TestVMsThatStartTogetherDiscoverEachOther (100 VMs, 12 s) fails before.

--- a/core/wqmember/probe.go
+++ b/core/wqmember/probe.go
@@ -21,9 +21,12 @@
 const (
 	maxProbeRequests = 16 // maxProbeRequests is the maximum number of VMs that are probed for others at one time.
 	joinContacts     = 3  // joinContacts is how many VMs a joining VM contacts per HeartbeatInterval.
-	listReplyBurst   = 4  // listReplyBurst is how many full lists may be sent at once.
-	extraBurst       = 64 // extraBurst is the token bucket's size: how many messages besides the periodic ones may be sent at once.
-	extraRate        = 16 // extraRate is the token bucket's refill rate in messages per second.
+
+	listEntryBurst = 20_000 // listEntryBurst is how many entries of full lists may be sent at once.
+	listEntryRate  = 20_000 // listEntryRate is the refill rate of the bucket in entries per second.
+
+	extraBurst = 64 // extraBurst is the token bucket's size: how many messages besides the periodic ones may be sent at once.
+	extraRate  = 16 // extraRate is the token bucket's refill rate in messages per second.
 )
 
 // sendHeartbeat sends one heartbeat per Timing.HeartbeatInterval, to the
--- a/core/wqmember/sync.go
+++ b/core/wqmember/sync.go
@@ -43,17 +43,64 @@
 	return time.Duration(len(t.peers)) * t.Timing.SyncIntervalPerMember
 }
 
-// allowListReply reports whether a full list may be sent now: a burst of
-// listReplyBurst, then one per Timing.HeartbeatInterval.
-func (t *Tracker) allowListReply() bool {
-	fullBurst := t.now.Add(-listReplyBurst * t.Timing.HeartbeatInterval)
-	if t.nextListReply.Before(fullBurst) {
-		t.nextListReply = fullBurst
+// requestListAfterStart requests a full list at growing intervals after the start or
+// a pause, until a list was received for each of them. When many VMs start together,
+// the first list holds only those that were known by then, and heartbeats alone take
+// long to carry the others.
+func (t *Tracker) requestListAfterStart() {
+	delays := t.Timing.StartListDelays
+	if !t.synced || t.startLists >= len(delays) || t.now.Before(t.resumedAt.Add(delays[t.startLists])) || t.now.Before(t.nextStartList) {
+		return
+	}
+	t.nextStartList = t.now.Add(t.Timing.HeartbeatInterval)
+	if p := t.startListSource(); p != nil {
+		message := t.composeHeartbeat(p.ID, t.Timing.MaxChanges)
+		message.RequestsList = true
+		t.send(p, message)
+	}
+}
+
+// countStartList records a full list for all delays that have passed.
+func (t *Tracker) countStartList() {
+	delays := t.Timing.StartListDelays
+	for t.startLists < len(delays) && !t.now.Before(t.resumedAt.Add(delays[t.startLists])) {
+		t.startLists++
+	}
+}
+
+// startListSource returns the VM to request a list from after the start: a listed
+// one, as all VMs contact these first, or any other live one; nil when no list is
+// needed, because the digests agree.
+func (t *Tracker) startListSource() *peer {
+	var listed, others []*peer
+	for _, p := range t.peers {
+		switch {
+		case p.State != Alive || p.digestDiffersSince.IsZero():
+		case slices.ContainsFunc(t.vmList, func(l ListedVM) bool { return l.Address == p.Address }):
+			listed = append(listed, p)
+		default:
+			others = append(others, p)
+		}
+	}
+	if len(listed) == 0 {
+		listed = others
 	}
-	if t.nextListReply.After(t.now) {
+	if len(listed) == 0 {
+		return nil
+	}
+	slices.SortFunc(listed, compareIDs)
+	return listed[t.Random.IntN(len(listed))]
+}
+
+// allowListReply reports whether the full list may be sent now, and takes its
+// entries from a token bucket: the lists of VMs that have just started are short.
+func (t *Tracker) allowListReply() bool {
+	t.listTokens = min(listEntryBurst, t.listTokens+listEntryRate*t.now.Sub(t.listTokensAt).Seconds())
+	t.listTokensAt = t.now
+	if t.listTokens < 0 {
 		return false
 	}
-	t.nextListReply = t.nextListReply.Add(t.Timing.HeartbeatInterval)
+	t.listTokens -= float64(len(t.peers) + 1)
 	return true
 }
 
--- a/core/wqmember/tracker.go
+++ b/core/wqmember/tracker.go
@@ -36,11 +36,14 @@
 	nextFlood           time.Time
 	nextReconnect       time.Time
 	nextListRequest     time.Time // earliest time of the next request
-	nextListReply       time.Time // earliest time of the next full list; in the past while a burst is allowed
+	nextStartList       time.Time // earliest time of the next request by requestListAfterStart
+	listTokens          float64   // token bucket for the entries of full lists; below 0 after a list longer than the rest
+	listTokensAt        time.Time // when listTokens was last refilled
 	incarnationRaisedAt time.Time
 	extraTokens         float64   // token bucket for messages besides the periodic ones
 	extraTokensAt       time.Time // when extraTokens was last refilled
 	resumedAt           time.Time // end of the last pause, or the start
+	startLists          int       // elements of Timing.StartListDelays for which a list was received since resumedAt
 	synced              bool      // a full list was requested and received since resumedAt
 	wasPaused           bool      // the process was paused at least once
 	floodPending        bool      // urgent changes are queued for a flood
@@ -70,7 +73,8 @@
 	t.indirectProbes = make(map[string]indirectProbe)
 	t.probeRequests = make(map[string][]probeRequest)
 	t.now, t.nextHeartbeat, t.nextFlood, t.nextReconnect = now, now, now, now
-	t.nextListRequest, t.nextListReply, t.resumedAt, t.isolatedSince = now, now, now, now
+	t.nextListRequest, t.resumedAt, t.isolatedSince = now, now, now
+	t.listTokens, t.listTokensAt = listEntryBurst, now
 	t.extraTokens, t.extraTokensAt = extraBurst, now
 	t.Self.Isolated = true
 	t.Self.Incarnation = max(t.Self.Incarnation, t.Self.Epoch)
@@ -84,6 +88,7 @@
 	t.updateIsolation()
 	t.expireSuspicions()
 	t.reconnect()
+	t.requestListAfterStart()
 	t.sendHeartbeat()
 	t.flood()
 	envelopes := t.outbox
@@ -141,6 +146,7 @@
 	}
 	if reply.Full {
 		t.queueMissing(reply)
+		t.countStartList()
 		t.synced = t.synced || !sent.QueuedAt.Before(t.resumedAt)
 	}
 	if reply.RequestsList {
@@ -254,7 +260,7 @@
 	}
 	clear(t.indirectProbes)
 	clear(t.probeRequests)
-	t.synced, t.wasPaused = false, true
+	t.synced, t.wasPaused, t.startLists = false, true, 0
 	t.resumedAt = now
 	for _, p := range t.peers {
 		p.noReplyAt = time.Time{}
