Count the wait for a connection against a searcher's deadline; no small hubs

A zone of 59 VMs got a fourth hub with a quarter of the capacity of the three large ones, on which a fan-out of 180 takes about 0.1 s of processor time. Change: the time left is set when the request has its connection; VMs with less than half of the largest capacity are no hubs beside enough others; at the first start roles are taken after 1.5 s, when VMs know each other, so that few list the store.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -49,7 +49,7 @@
 	watchCoalesceDelay = 300 * time.Millisecond // From a change to the next watch, to read changes that follow each other in one call; they are due within seconds.
 	// firstStartJoinDelay is the time in which VMs discover each other before they
 	// take roles, when the whole fleet starts for the first time, within 0.3 s.
-	firstStartJoinDelay = 500 * time.Millisecond
+	firstStartJoinDelay = 1500 * time.Millisecond
 	// gcMemoryShare is the Go memory limit as a share of the process's memory. The
 	// rest is for memory that the Go runtime does not count.
 	gcMemoryShare       = 0.7
--- a/core/wqhub/policy.go
+++ b/core/wqhub/policy.go
@@ -45,13 +45,23 @@
 	var hubs []wqmember.Member
 	for _, members := range zones {
 		slices.SortFunc(members, compareForHub)
-		hubCount := max(p.MinHubsPerZone, len(members)/p.VMsPerHub)
-		hubs = append(hubs, members[:min(hubCount, len(members))]...)
+		hubs = append(hubs, members[:p.hubCount(members)]...)
 	}
 	slices.SortFunc(hubs, func(a, b wqmember.Member) int { return strings.Compare(a.ID, b.ID) })
 	return hubs
 }
 
+// hubCount returns how many of a zone's VMs, sorted by compareForHub, become hubs.
+// VMs with less than half of the largest capacity are left out where there are enough
+// others: a fan-out takes as much longer on them.
+func (p Policy) hubCount(members []wqmember.Member) int {
+	n := min(max(p.MinHubsPerZone, len(members)/p.VMsPerHub), len(members))
+	for n > p.MinHubsPerZone && 2*members[n-1].Capacity < members[0].Capacity {
+		n--
+	}
+	return n
+}
+
 // compareForHub orders VMs by descending capacity, then by a hash of their ids,
 // which is the same on all VMs.
 func compareForHub(a, b wqmember.Member) int {
--- a/core/wqhub/policy_test.go
+++ b/core/wqhub/policy_test.go
@@ -33,6 +33,17 @@
 	}
 }
 
+// On a VM with a quarter of the capacity a fan-out takes four times as long, which is
+// too late, even if it is the hub of fewer VMs.
+func TestSmallVMsDoNotBecomeHubsBesideLargeOnes(t *testing.T) {
+	hubs := wqhub.DefaultPolicy().Choose(testFleet(177, 9))
+	must.Len(t, 9, hubs)
+	for _, h := range hubs {
+		must.Eq(t, 800, h.Capacity)
+	}
+	must.Len(t, 6, wqhub.DefaultPolicy().Choose(testFleet(177, 3)), must.Sprint("two hubs a zone are needed in any case"))
+}
+
 func TestHubCountGrowsWithTheFleetFromTwoPerZone(t *testing.T) {
 	must.Len(t, 6, wqhub.DefaultPolicy().Choose(testFleet(13, 0)))
 	must.Len(t, 21, wqhub.DefaultPolicy().Choose(testFleet(300, 0)))
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -72,6 +72,7 @@
 type exchange struct {
 	client            *Client
 	searcher          *wqtopology.Searcher
+	beforeWrite       func() // nil for none; see ForwardRequest
 	conn              *connection
 	number            uint64 // request number on conn
 	status            int
@@ -150,6 +151,9 @@
 		x.conn = i.Conn.(*connection)
 		x.number = x.conn.beginRequest()
 		x.currentConnection.Store(&requestConnection{x.conn, x.number})
+		if x.beforeWrite != nil {
+			x.beforeWrite()
+		}
 	}}
 	x.conn = nil
 	request, err := make()
--- a/io/wqtarget/forward.go
+++ b/io/wqtarget/forward.go
@@ -18,6 +18,9 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// BeforeWrite, if set, may change Header. It is called once the request has a
+	// connection, right before it is written.
+	BeforeWrite func()
 	// Matches reports whether a response with this status code and header belongs
 	// to this request. It is called before the body is read; the connection of a
 	// response that does not match is closed.
@@ -34,7 +37,7 @@
 // Forward passes one request on and returns the searcher's complete response. The
 // request is written at most once. The error is a Failure.
 func (c *Client) Forward(ctx context.Context, s *wqtopology.Searcher, m ForwardRequest) (ForwardResponse, error) {
-	x := exchange{client: c, searcher: s}
+	x := exchange{client: c, searcher: s, beforeWrite: m.BeforeWrite}
 	p := c.poolOf(s)
 	defer p.closeExcess()
 	response, err := x.roundTrip(ctx, p, func() (*http.Request, error) { return m.httpRequest(p.baseURL) })
