Delay hedges while most services of a fan-out are unanswered

Cause: on a hub that has just started or has little of a core, most services are unanswered when hedges are due, because of the hub itself. Change: a hedge waits twice as long while more than half of the services are unanswered; the policy gets that share.

--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -36,8 +36,9 @@
 
 // HedgePolicy decides when a request is also sent to a second searcher.
 type HedgePolicy interface {
-	// HedgeDelay returns the time from a send to its hedge.
-	HedgeDelay() time.Duration
+	// HedgeDelay returns the time from a send to its hedge. Unanswered is the share
+	// of the request's services without an answer, 0 for a request without fan-out.
+	HedgeDelay(unanswered float64) time.Duration
 	// MeanLatency returns the moving average of the latency of a send.
 	MeanLatency() time.Duration
 	// TrySpend takes one extra send to a service from the budget and reports
@@ -233,7 +234,16 @@
 
 func (g *Gather[P, H]) hedgeAt(s *serviceProgress) time.Time {
 	lastSentAt := s.inFlight[len(s.inFlight)-1].sentAt
-	return wqtime.Later(lastSentAt.Add(g.HedgePolicy.HedgeDelay()), s.retryAt)
+	return wqtime.Later(lastSentAt.Add(g.HedgePolicy.HedgeDelay(g.unansweredShare())), s.retryAt)
+}
+
+// unansweredShare returns the share of the services without an answer, 0 for a request
+// without fan-out.
+func (g *Gather[P, H]) unansweredShare() float64 {
+	if !g.Route.FanOut() {
+		return 0
+	}
+	return 1 - float64(g.answeredCount)/float64(len(g.progress))
 }
 
 // NextWake returns the time of the next call to Wake, at most the deadline.
--- a/core/wqgather/gather_test.go
+++ b/core/wqgather/gather_test.go
@@ -21,8 +21,8 @@
 	budget *int
 }
 
-func (p fixedHedgePolicy) HedgeDelay() time.Duration  { return p.delay }
-func (p fixedHedgePolicy) MeanLatency() time.Duration { return 20 * time.Millisecond }
+func (p fixedHedgePolicy) HedgeDelay(float64) time.Duration { return p.delay }
+func (p fixedHedgePolicy) MeanLatency() time.Duration       { return 20 * time.Millisecond }
 
 func (p fixedHedgePolicy) TrySpend(time.Time, string) bool {
 	*p.budget--
--- a/core/wqlatency/estimator.go
+++ b/core/wqlatency/estimator.go
@@ -7,8 +7,8 @@
 //
 //	e := wqlatency.New(200 * time.Millisecond)
 //	e.Observe(now, elapsed)
-//	e.HedgeDelay()  // hedge a send without an answer after this delay
-//	e.MeanLatency() // EWMA of the latency of a send
+//	e.HedgeDelay(0.1) // hedge a send without an answer after this delay, with 1 in 10 services unanswered
+//	e.MeanLatency()   // EWMA of the latency of a send
 package wqlatency
 
 import (
@@ -25,6 +25,7 @@
 	minHedgeRatio    = 1.5  // minHedgeRatio is the smallest hedge delay in multiples of the mean latency.
 	initialMeanShare = 0.15 // initialMeanShare is the mean latency before the first observation, as a share of the objective.
 	meanWeight       = 0.02 // meanWeight is the weight of a new observation in the EWMA.
+	commonCauseShare = 0.5  // commonCauseShare is the share of unanswered services above which a common cause is assumed.
 	defaultObjective = time.Second
 	minMeanLatency   = time.Millisecond
 )
@@ -68,7 +69,18 @@
 }
 
 // HedgeDelay returns how long after a send without an answer the hedge is sent.
-func (e *Estimator) HedgeDelay() time.Duration {
+// Unanswered is the share of the request's services without an answer. While that is
+// most of them, the cause is more likely this VM, its links or the first connections
+// than each of the searchers, and hedges would add to it: they wait twice as long.
+func (e *Estimator) HedgeDelay(unanswered float64) time.Duration {
+	d := e.hedgeDelay()
+	if unanswered > commonCauseShare {
+		d *= 2
+	}
+	return d
+}
+
+func (e *Estimator) hedgeDelay() time.Duration {
 	maxDelay := time.Duration(maxHedgeShare * float64(e.objective))
 	d, ok := e.quantile.HedgeDelay()
 	if !ok {
