Ask for the member list soon after a start, and answer short when it is known

The digest of a first contact says nothing of VMs that start later, so the source of a list no longer depends on it; a peer with the same digest gets a short reply. Lists are asked for at 0.2, 0.5, 1, 2, 4 and 8 s, on time.

--- a/core/wqmember/sync.go
+++ b/core/wqmember/sync.go
@@ -48,11 +48,10 @@
 // the first list holds only those that were known by then, and heartbeats alone take
 // long to carry the others.
 func (t *Tracker) requestListAfterStart() {
-	delays := t.Timing.StartListDelays
-	if !t.synced || t.startLists >= len(delays) || t.now.Before(t.resumedAt.Add(delays[t.startLists])) || t.now.Before(t.nextStartList) {
+	if due := t.startListAt(); due.IsZero() || t.now.Before(due) {
 		return
 	}
-	t.nextStartList = t.now.Add(t.Timing.HeartbeatInterval)
+	t.nextStartList = t.now.Add(t.Timing.AckTimeout)
 	if p := t.startListSource(); p != nil {
 		message := t.composeHeartbeat(p.ID, t.Timing.MaxChanges)
 		message.RequestsList = true
@@ -60,6 +59,15 @@
 	}
 }
 
+// startListAt returns when requestListAfterStart sends its next request, the zero
+// time for never.
+func (t *Tracker) startListAt() time.Time {
+	if !t.synced || t.startLists >= len(t.Timing.StartListDelays) {
+		return time.Time{}
+	}
+	return later(t.resumedAt.Add(t.Timing.StartListDelays[t.startLists]), t.nextStartList)
+}
+
 // countStartList records a full list for all delays that have passed.
 func (t *Tracker) countStartList() {
 	delays := t.Timing.StartListDelays
@@ -69,13 +77,12 @@
 }
 
 // startListSource returns the VM to request a list from after the start: a listed
-// one, as all VMs contact these first, or any other live one; nil when no list is
-// needed, because the digests agree.
+// one, as all VMs contact these first, or any other live one; nil when there is none.
 func (t *Tracker) startListSource() *peer {
 	var listed, others []*peer
 	for _, p := range t.peers {
 		switch {
-		case p.State != Alive || p.digestDiffersSince.IsZero():
+		case p.State != Alive:
 		case slices.ContainsFunc(t.vmList, func(l ListedVM) bool { return l.Address == p.Address }):
 			listed = append(listed, p)
 		default:
@@ -92,6 +99,18 @@
 	return listed[t.Random.IntN(len(listed))]
 }
 
+// replyToListRequest turns a reply into a full list. A peer with the same digest has
+// the list already, so the reply stays short.
+func (t *Tracker) replyToListRequest(reply, request Message) Message {
+	switch {
+	case request.Digest == t.digest:
+		reply.Full = true
+	case t.allowListReply():
+		return t.fullList()
+	}
+	return reply
+}
+
 // allowListReply reports whether the full list may be sent now, and takes its
 // entries from a token bucket: the lists of VMs that have just started are short.
 func (t *Tracker) allowListReply() bool {
--- a/core/wqmember/timing.go
+++ b/core/wqmember/timing.go
@@ -43,7 +43,7 @@
 		ReconnectInterval:     3 * time.Second,
 		SyncDelay:             2 * time.Second,
 		SyncIntervalPerMember: 200 * time.Millisecond,
-		StartListDelays:       []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second},
+		StartListDelays:       []time.Duration{200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second},
 		TombstoneTTL:          time.Hour,
 		ContactWindow:         3 * time.Second,
 		PauseThreshold:        3 * time.Second,
--- a/core/wqmember/tracker.go
+++ b/core/wqmember/tracker.go
@@ -105,7 +105,7 @@
 	if t.floodPending {
 		next = earlier(next, t.nextFlood)
 	}
-	return earlier(next, t.firstSuspicionDeadline())
+	return earlier(earlier(next, t.startListAt()), t.firstSuspicionDeadline())
 }
 
 // HandleMessage merges a message from a peer and returns the reply.
@@ -121,8 +121,8 @@
 		t.handleProbeRequest(from.ID, message.ProbeID)
 	}
 	reply := t.composeHeartbeat(from.ID, t.Timing.MaxChanges)
-	if message.RequestsList && t.allowListReply() {
-		reply = t.fullList()
+	if message.RequestsList {
+		reply = t.replyToListRequest(reply, message)
 	}
 	return reply
 }
@@ -145,7 +145,9 @@
 		p.knowsAddress = true
 	}
 	if reply.Full {
-		t.queueMissing(reply)
+		if reply.Digest != t.digest {
+			t.queueMissing(reply)
+		}
 		t.countStartList()
 		t.synced = t.synced || !sent.QueuedAt.Before(t.resumedAt)
 	}
