--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -93,7 +93,10 @@
 	}
 	pool, closePool := wqpeerpool.New(wqpeerpool.Settings{MaxConnsPerPeer: 1, DialTimeout: peerDialTimeout})
 	defer closePool()
-	peers := &wqpeer.Client{Pool: pool, Controller: h.controller, HTTP: &http.Client{Transport: newFastFailTransport()}, Zone: h.Settings.Zone, Log: h.Log}
+	peers := &wqpeer.Client{
+		Pool: pool, Controller: h.controller, HTTP: &http.Client{Transport: newFastFailTransport()}, Zone: h.Settings.Zone,
+		CountBytes: h.metrics.CountPeerBytes, Log: h.Log,
+	}
 	h.controller.Peers = peers
 	client, closeClient := wqtarget.New()
 	defer closeClient()
--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -60,6 +60,7 @@
 	sends            *prometheus.CounterVec
 	failedSends      *prometheus.CounterVec
 	fanOuts          *prometheus.CounterVec
+	peerBytes        *prometheus.CounterVec
 }
 
 // New returns metrics with their own Prometheus registry.
@@ -79,7 +80,8 @@
 	m.sends = counter("sends_total", "Sends to searchers.", []string{"service"})
 	m.failedSends = counter("sends_failed_total", "Sends to searchers that got no answer.", []string{"service", "outcome"})
 	m.fanOuts = counter("fan_outs_total", "Fan-outs, by the availability zone of the VM that got the request and of the VM that ran it.", []string{"entry_zone", "hub_zone"})
-	m.registry.MustRegister(m.callLatency, m.callCoverage, m.sends, m.failedSends, m.fanOuts)
+	m.peerBytes = counter("peer_bytes_total", "Bytes of messages that this VM began, to and from other VMs, by kind and by the availability zone of the other VM.", []string{"kind", "zone"})
+	m.registry.MustRegister(m.callLatency, m.callCoverage, m.sends, m.failedSends, m.fanOuts, m.peerBytes)
 	m.registry.MustRegister(m.queryLatency, m.queryCoverage, m.queryExtraLoad, m.subQueriesNeeded, m.subQueriesSent, m.hedgesSent, m.refusals, m.writes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
@@ -143,6 +145,11 @@
 	m.fanOuts.WithLabelValues(entryZone, hubZone).Inc()
 }
 
+// CountPeerBytes counts the bytes of a message of a kind to, or from, a VM of a zone.
+func (m *Metrics) CountPeerBytes(kind, zone string, n int) {
+	m.peerBytes.WithLabelValues(kind, zone).Add(float64(n))
+}
+
 // AddGauge registers a gauge whose value is read at each scrape.
 func (m *Metrics) AddGauge(name, help string, read func() float64) {
 	o := prometheus.GaugeOpts{Namespace: "wisteriaquay", Name: name, Help: help}
--- a/io/wqpeer/client.go
+++ b/io/wqpeer/client.go
@@ -12,6 +12,7 @@
 package wqpeer
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -23,6 +24,7 @@
 	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqmirror"
@@ -48,7 +50,8 @@
 	Pool       *wqpeerpool.Pool
 	Controller *wqcontroller.Controller
 	HTTP       *http.Client
-	Zone       string // Zone is the availability zone of this VM.
+	Zone       string                         // Zone is the availability zone of this VM.
+	CountBytes func(kind, zone string, n int) // CountBytes, if set, counts the bytes of bodies to and from VMs of a zone.
 	Log        *slog.Logger
 
 	hubs sync.Map // hubs holds the hubContact of each hub, by id.
@@ -95,11 +98,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), wqmember.DefaultTiming().AckTimeout)
 		defer cancel()
-		reply, err := c.Pool.PeerClient(e.To.Address).Heartbeat(ctx, wqheartbeat.Encode(e.Message))
+		request := wqheartbeat.Encode(e.Message)
+		reply, err := c.Pool.PeerClient(e.To.Address).Heartbeat(ctx, request)
 		if err != nil {
 			c.Controller.HeartbeatFailed(e)
 			return
 		}
+		c.countBytes("heartbeat", e.To.Zone, proto.Size(request)+proto.Size(reply)) // Before compression.
 		m, err := wqheartbeat.Decode(reply)
 		if err != nil {
 			c.Log.Warn("malformed heartbeat reply; run the same release on all VMs", "peer", e.To.ID, "error", err.Error())
@@ -126,12 +131,50 @@
 	}()
 }
 
+// decodeItems reads a reply with items from a VM of a zone.
+func (c *Client) decodeItems(response *http.Response, zone string) (itemBatch, error) {
+	received := &countingReader{reader: response.Body}
+	defer func() { c.countBytes("items", zone, received.count) }()
+	body := io.Reader(received)
+	if response.Header.Get("Content-Encoding") == "gzip" {
+		expanded, err := gzip.NewReader(received)
+		if err != nil {
+			return itemBatch{}, err
+		}
+		body = expanded
+	}
+	var batch itemBatch
+	err := json.NewDecoder(io.LimitReader(body, maxItemsBytes)).Decode(&batch)
+	return batch, err
+}
+
+// countBytes counts the bytes of messages to and from a VM of a zone, by their kind.
+func (c *Client) countBytes(kind, zone string, n int) {
+	if c.CountBytes != nil {
+		c.CountBytes(kind, zone, n)
+	}
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	reader io.Reader
+	count  int
+}
+
+// Read reads and counts.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.count += n
+	return n, err
+}
+
 func (c *Client) fetch(ctx context.Context, peer wqmember.Member, afterRevision uint64) (wqmirror.Batch, error) {
 	url := fmt.Sprintf("http://%s%s?after=%d&%s", peer.Address, itemsPath, afterRevision, textParameter)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return wqmirror.Batch{}, err
 	}
+	request.Header.Set("Accept-Encoding", "gzip") // Whatever the transport does by default.
 	response, err := c.HTTP.Do(request)
 	if err != nil {
 		return wqmirror.Batch{}, err
@@ -140,8 +183,8 @@
 	if response.StatusCode != http.StatusOK {
 		return wqmirror.Batch{}, eris.Errorf("status %d", response.StatusCode)
 	}
-	var batch itemBatch
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxItemsBytes)).Decode(&batch); err != nil {
+	batch, err := c.decodeItems(response, peer.Zone)
+	if err != nil {
 		return wqmirror.Batch{}, err
 	}
 	b := wqmirror.Batch{StoreRevision: batch.AsOf, Full: batch.Whole, Source: peer.ID}
--- a/io/wqpeer/fanout.go
+++ b/io/wqpeer/fanout.go
@@ -78,7 +78,9 @@
 		return wqcall.Reply{}, wqrelay.ErrHubRefused
 	}
 	var reply wqcall.Reply
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxFanOutBytes)).Decode(&reply); err != nil {
+	received := &countingReader{reader: response.Body}
+	defer func() { c.countBytes("fan_out", hub.Searcher.Zone, len(data)+received.count) }()
+	if err := json.NewDecoder(io.LimitReader(received, maxFanOutBytes)).Decode(&reply); err != nil {
 		return wqcall.Reply{}, eris.Wrap(err, "the hub's reply is incomplete")
 	}
 	c.hubs.Store(hub.Searcher.ID, hubContact{repliedAt: time.Now(), latency: latency})
--- a/io/wqpeer/items_test.go
+++ b/io/wqpeer/items_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,12 +51,17 @@
 	to, _ := startVM(t)
 	want := registrations(100)
 	from.Deliver(t.Context(), want)
-	client := &wqpeer.Client{Controller: to, HTTP: server.Client(), Log: slog.New(slog.DiscardHandler)}
+	var received atomic.Int64
+	client := &wqpeer.Client{
+		Controller: to, HTTP: &http.Client{Transport: &http.Transport{DisableCompression: true}}, Log: slog.New(slog.DiscardHandler),
+		CountBytes: func(_, _ string, n int) { received.Add(int64(n)) },
+	}
 	client.FetchItems(wqmember.Member{ID: "vm", Address: strings.TrimPrefix(server.URL, "http://")}, 0)
 	must.Wait(t, wait.InitialSuccess(wait.Timeout(5*time.Second), wait.Gap(5*time.Millisecond), wait.BoolFunc(func() bool { return to.StoreRevision() == want.StoreRevision })))
 	got, ok := to.BatchSince(t.Context(), 0)
 	must.True(t, ok)
 	must.Len(t, len(want.Items), got.Items)
+	must.Less(t, 5000, received.Load(), must.Sprint("the client asks for compression, whatever its transport does"))
 	values := make(map[string]string)
 	for _, i := range got.Items {
 		values[i.Key] = string(i.Value)
