--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 LINT_VERSION := v2.15.0
 LINT := bin/golangci-lint-$(LINT_VERSION)
 
-.PHONY: build test lint format demo
+# Time for each target of make fuzz.
+FUZZ_TIME ?= 20s
+
+.PHONY: build test fuzz lint format demo
 
 build:
 	$(GO) build -o bin/ ./cmd/wisteriaquay ./test/wqstand
@@ -15,6 +18,15 @@
 test:
 	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(MODULES)
 
+# Each fuzz target, given as package:name, runs for FUZZ_TIME. Inputs that fail are
+# written to testdata of the package; commit them as seeds.
+fuzz:
+	@grep -rn --include='*_test.go' '^func Fuzz' . | sed -E 's|^(.*)/[^/]*_test.go:[0-9]+:func (Fuzz[A-Za-z]*).*|\1 \2|' | \
+	while read -r package name; do \
+		echo "$$package $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME) "$$package" || exit 1; \
+	done
+
 lint: $(LINT)
 	@for m in core io platform cmd test; do (cd $$m && ../$(LINT) run ./...) || exit 1; done
 
--- a/core/wqroute/check.go
+++ b/core/wqroute/check.go
@@ -19,7 +19,7 @@
 func (t *Table) Problem() string {
 	for _, routes := range t.byHost {
 		for _, r := range routes {
-			if problem := r.problem(); problem != "" {
+			if problem := r.Problem(); problem != "" {
 				return fmt.Sprintf("route %q: %s", r.Name, problem)
 			}
 		}
@@ -36,7 +36,8 @@
 	return ""
 }
 
-func (r *Route) problem() string {
+// Problem returns why a route can't be served, empty if it can.
+func (r *Route) Problem() string {
 	switch {
 	case r.Attempts < 0 || r.Attempts > maxAttempts:
 		return fmt.Sprintf("%d attempts are out of range", r.Attempts)
--- a/io/wqpeer/fanout.go
+++ b/io/wqpeer/fanout.go
@@ -24,6 +24,7 @@
 	pingSkipWindow = 500 * time.Millisecond // pingSkipWindow is the time after a hub's reply in which it is not pinged.
 	acceptTimeout  = 300 * time.Millisecond // acceptTimeout bounds the time from sending a request to a hub until its response header.
 	maxFanOutBytes = 8 << 20                // maxFanOutBytes bounds the body of a request and of a reply.
+	maxFanOutTime  = 24 * time.Hour         // maxFanOutTime bounds the times in a request; callers wait for seconds.
 	replyTransit   = 2 * time.Millisecond   // replyTransit is the part of the timeout reserved for the way to a hub and back, beside the network latency.
 	assumedLatency = 8 * time.Millisecond   // assumedLatency is the round trip to a hub of another zone that has not been measured.
 )
@@ -42,6 +43,12 @@
 	Route         *wqroute.Route      `json:"route"`
 }
 
+// valid reports whether a hub can run the request.
+func (r *fanOutRequest) valid() bool {
+	inRange := func(micros int64) bool { return micros >= 0 && micros <= maxFanOutTime.Microseconds() }
+	return r.Route != nil && r.Route.FanOut() && r.Route.Problem() == "" && inRange(r.ElapsedMicros) && inRange(r.WaitMicros)
+}
+
 // FanOut has a hub run a call and returns its reply. The hub is pinged first,
 // since a call that a hub may have begun must not be sent to another one. An
 // error that is wqrelay.ErrHubRefused means that the hub has not begun.
@@ -137,7 +144,7 @@
 func (h *Handler) serveFanOut(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	var request fanOutRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFanOutBytes)).Decode(&request); err != nil || request.Route == nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFanOutBytes)).Decode(&request); err != nil || !request.valid() {
 		http.Error(w, "the request for a fan-out is malformed; run the same release on all VMs", http.StatusBadRequest)
 		return
 	}
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -275,3 +276,30 @@
 	}
 	must.Less(t, maxHeap, highestHeap)
 }
+
+// FuzzForwardResponse reads arbitrary bytes as a searcher's response. What is accepted
+// must be a whole response to the request.
+func FuzzForwardResponse(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 99999999999999999999\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: 2\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, response []byte) {
+		s, _ := startRawSearcher(t, func(c net.Conn, _ int64, _ *http.Request) {
+			_, _ = c.Write(response)
+			_ = c.Close()
+		})
+		c := newTestClient(t)
+		c.MaxReplyBytes = 1 << 16
+		r, err := c.Forward(t.Context(), s, forwardRequest("1"))
+		if err != nil {
+			return
+		}
+		if r.Header.Get("Request-Id") != "1" || int64(len(r.Body)) > c.MaxReplyBytes || r.StatusCode < 200 {
+			t.Fatalf("a response that is not whole, or of another request, was accepted: %+v", r)
+		}
+		if length := r.Header.Get("Content-Length"); length != "" && length != strconv.Itoa(len(r.Body)) {
+			t.Fatalf("a body of %d bytes was accepted where the head says %s", len(r.Body), length)
+		}
+	})
+}
