Accept names with any printable characters; a hub runs what no other hub takes

Names of services and searchers were limited to ASCII without spaces, more than an HTTP header needs; only control characters are refused now. A hub whose preferred zone does not answer called itself over HTTP; it runs the fan-out itself now, which TestHubsOfTheOwnZoneRunFanOutsWhenTheSearchersZoneIsCutOff checks (fails before).

--- a/core/wqdirectory/check.go
+++ b/core/wqdirectory/check.go
@@ -1,6 +1,10 @@
 package wqdirectory
 
-import "time"
+import (
+	"strings"
+	"time"
+	"unicode"
+)
 
 // The largest values of a registration that are accepted. Larger ones come from a
 // faulty writer: they would make a searcher unusable, or one that never changes
@@ -19,11 +23,11 @@
 func (r *Registration) Problem() string {
 	switch {
 	case !isName(r.ID):
-		return "the id is empty, too long or not printable"
+		return "the id is empty, too long or has control characters"
 	case !isName(r.Service):
-		return "the service is empty, too long or not printable"
+		return "the service is empty, too long or has control characters"
 	case !isName(r.Address):
-		return "the address is empty, too long or not printable"
+		return "the address is empty, too long or has control characters"
 	case len(r.Zone) > maxNameBytes:
 		return "the availability zone is too long"
 	case r.Slots < 1 || r.Slots > maxSlots:
@@ -44,13 +48,8 @@
 	return r.Incarnation > now.Add(maxClockDifference).UnixMilli()
 }
 
-// isName reports whether s is not empty, has a length that is accepted, and holds
-// printable ASCII only, as the value of an HTTP header must.
+// isName reports whether s is not empty, has a length that is accepted, and holds no
+// control characters, which the value of an HTTP header must not have.
 func isName(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] > '~' {
-			return false
-		}
-	}
-	return s != "" && len(s) <= maxNameBytes
+	return s != "" && len(s) <= maxNameBytes && !strings.ContainsFunc(s, unicode.IsControl)
 }
--- a/io/wqrelay/hub.go
+++ b/io/wqrelay/hub.go
@@ -65,6 +65,9 @@
 			r.countFanOut(hub.Searcher.Zone)
 			return reply
 		}
+		if plan.IsHub {
+			break
+		}
 		candidates = r.preferOwnZone(plan.Hubs, tried) // The preferred zone may be cut off.
 	}
 	return r.runHere(ctx, c, plan, route)
--- a/io/wqrelay/relay_test.go
+++ b/io/wqrelay/relay_test.go
@@ -156,6 +156,8 @@
 	r.Zone, r.Placement.Zone = "b", "b"
 	plan.Hubs = []*wqdirectory.Target{newTarget("near-1", "a"), newTarget("near-2", "a"), newTarget("own", "b")}
 	must.Eq(t, []string{"own"}, r.Serve(t.Context(), newCall("/all/x")).Stamps)
+	plan.IsHub = true // A hub that finds none in the preferred zone runs the fan-out itself.
+	must.SliceContainsAll(t, []string{"x", "y"}, r.Serve(t.Context(), newCall("/all/x")).Stamps)
 }
 
 func TestHubRunsFanOutsOfItsZoneItself(t *testing.T) {
