Test a zone without searchers whose hubs elsewhere freeze

Real processes, 14 VMs in three zones, searchers in two: a fan-out of the third zone runs on a hub of the other two, and is served while all of these are frozen.

--- a/test/tier/hub_test.go
+++ b/test/tier/hub_test.go
@@ -1,8 +1,11 @@
 package tier_test
 
 import (
+	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,3 +51,42 @@
 		}
 	}
 }
+
+// hubZoneOf returns the availability zone of the hub that ran a request, by the line of
+// the VM that got it; empty when it ran the request itself.
+func hubZoneOf(f *wqfakeplatform.Fleet, vm *wqfakeplatform.VM, requestID string) string {
+	var line struct {
+		Message   string `json:"msg"`
+		RequestID string `json:"request_id"`
+		HubZone   string `json:"hub_zone"`
+	}
+	f.Eventually(5*time.Second, func() bool {
+		return slices.ContainsFunc(strings.Split(vm.Log(), "\n"), func(l string) bool {
+			return json.Unmarshal([]byte(l), &line) == nil && line.Message == "request" && line.RequestID == requestID
+		})
+	})
+	return line.HubZone
+}
+
+// Zone c has VMs but no searchers, so that zones a and b run its fan-outs. When their
+// hubs freeze, other VMs must do so, and no request may run too often.
+func TestZoneWithoutSearchersIsServedWhileOtherHubsAreFrozen(t *testing.T) {
+	f := startFleet(t, 14)
+	f.Eventually(10*time.Second, func() bool { return len(hubVMs(f)) == 6 })
+	hubs := hubVMs(f)
+	entry := f.VMs[slices.IndexFunc(f.VMs, func(vm *wqfakeplatform.VM) bool { return vm.Zone == "c" && !slices.Contains(hubs, vm) })]
+	reply := f.Send(entry, http.MethodGet, "/all/x", "", time.Second)
+	must.Eq(t, http.StatusOK, reply.Code)
+	must.SliceContains(t, []string{"a", "b"}, hubZoneOf(f, entry, reply.RequestID))
+	for _, vm := range hubs {
+		if vm.Zone != "c" {
+			vm.Signal(syscall.SIGSTOP)
+			defer vm.Signal(syscall.SIGCONT)
+		}
+	}
+	time.Sleep(600 * time.Millisecond) // A hub that replied half a second ago is not asked whether it is there.
+	for range 5 {
+		must.Eq(t, http.StatusOK, f.Send(entry, http.MethodGet, "/all/x", "", time.Second).Code)
+	}
+	checkGuarantees(t, f)
+}
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -39,6 +39,7 @@
 // VM is one process of the program under test.
 type VM struct {
 	Name             string
+	Zone             string
 	CallerAddress    string
 	ReadinessAddress string
 	StoreProxy       *wqproxy.Proxy // StoreProxy injects faults between this VM and the store.
@@ -153,12 +154,12 @@
 	proxy, release := wqproxy.New(f.t, strings.TrimPrefix(f.Store.URL, "http://"))
 	f.t.Cleanup(release)
 	vm := &VM{
-		Name: fmt.Sprintf("front-%d", i), fleet: f, StoreProxy: proxy,
+		Name: fmt.Sprintf("front-%d", i), Zone: string(rune('a' + i%3)), fleet: f, StoreProxy: proxy,
 		CallerAddress: wqprocess.FreeAddress(f.t), ReadinessAddress: wqprocess.FreeAddress(f.t),
 	}
 	vm.settingsPath = filepath.Join(f.t.TempDir(), "boot.toml")
 	seeds := `"` + strings.Join(controlAddresses[:min(3, len(controlAddresses))], `","`) + `"`
-	settings := fmt.Sprintf(settingsTemplate, vm.Name, string(rune('a'+i%3)), seeds, vm.CallerAddress, vm.ReadinessAddress, controlAddresses[i], shutdownGraceSeconds, proxy.Address())
+	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.CallerAddress, vm.ReadinessAddress, controlAddresses[i], shutdownGraceSeconds, proxy.Address())
 	must.NoError(f.t, os.WriteFile(vm.settingsPath, []byte(settings), 0o600))
 	f.VMs = append(f.VMs, vm)
 	vm.Start()
