--- a/io/wqholder/fanout.go
+++ b/io/wqholder/fanout.go
@@ -154,7 +154,7 @@
 // result, and afterwards if it should not wait for more.
 func (f *fanOut) addResult(r result, timer *time.Timer, gatherDelay time.Duration, send func(*wqpb.FanPart) error) error {
 	p := &f.part
-	if err := p.addOrFlush(r, send); err != nil {
+	if err := p.addOrFlush(f.atDeadline(r), send); err != nil {
 		return err
 	}
 	if (p.sendNow || gatherDelay <= 0) && len(f.results) == 0 {
@@ -188,13 +188,22 @@
 // addReady adds the results that have arrived by the deadline.
 func (f *fanOut) addReady(send func(*wqpb.FanPart) error) error {
 	for len(f.results) > 0 {
-		if err := f.part.addOrFlush(<-f.results, send); err != nil {
+		if err := f.part.addOrFlush(f.atDeadline(<-f.results), send); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// atDeadline replaces the status Broken by Expired once the deadline has passed, since
+// the deadline itself breaks the requests in flight.
+func (f *fanOut) atDeadline(r result) result {
+	if r.status == wqobservation.Broken && errors.Is(f.ctx.Err(), context.DeadlineExceeded) {
+		r.status = wqobservation.Expired
+	}
+	return r
+}
+
 // abandon abandons all tasks if results are pending. A request that is shared with
 // other fan-outs is cancelled once all its tasks are abandoned.
 func (f *fanOut) abandon() {
