Review case 5: orders reach a draining searcher until their own deadline

Cause: a request whose searcher is chosen waits in the transport for one of this VM's connections without a bound, and nothing looks at the searcher's state again before it is written. Change: a script that plays it; the project's code is unchanged.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# A searcher of a busy service is taken away as planned after bursts of orders.
+# Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/bin/standin ] && [ -x target/wisteriaquay ] || { echo "build the deploy file and run review/build.sh first" >&2; exit 2; }
+exec review/bin/standin drain review/5/record.txt
