Reject answers of searchers without a valid status

Cause: net/http accepts any three digits as a status, and returns an unrequested 101; io/wqtarget passed both on, and platform/wqingress raised every status below 200 to 200.

--- a/io/wqtarget/forward.go
+++ b/io/wqtarget/forward.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -27,7 +28,8 @@
 	Matches func(code int, header http.Header) bool
 }
 
-// ForwardResponse is a complete response to a ForwardRequest, of any status code.
+// ForwardResponse is a complete response to a ForwardRequest, with a status code from
+// 200 to 599.
 type ForwardResponse struct {
 	StatusCode int
 	Header     http.Header
@@ -45,6 +47,9 @@
 		return ForwardResponse{}, x.transportFailure(ctx, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !isFinalStatus(response.StatusCode) {
+		return ForwardResponse{}, x.protocolFailure(fmt.Sprintf("the response has the invalid status %03d", response.StatusCode))
+	}
 	if !m.Matches(response.StatusCode, response.Header) {
 		return ForwardResponse{}, x.protocolFailure("the response does not belong to this request")
 	}
@@ -56,6 +61,10 @@
 	return ForwardResponse{StatusCode: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// isFinalStatus reports whether code can end an HTTP request. The transport passes on
+// any three digits, and the unrequested status 101.
+func isFinalStatus(code int) bool { return code >= 200 && code <= 599 }
+
 // httpRequest returns the net/http form of the request.
 func (m ForwardRequest) httpRequest(baseURL string) (*http.Request, error) {
 	target, err := url.Parse(baseURL)
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -303,3 +304,21 @@
 		}
 	})
 }
+
+// Guards against an answer without a valid status that reaches a caller as a success:
+// net/http accepts any three digits, and ends a request with an unrequested 101.
+func TestResponseWithInvalidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "700", "999"} {
+		t.Run(status, func(t *testing.T) {
+			s, _ := startRawSearcher(t, func(c net.Conn, _ int64, _ *http.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s \r\nRequest-Id: 1\r\nServer-Stamp: stamp\r\nContent-Length: 1\r\n\r\nx", status)
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := newTestClient(t).Forward(ctx, s, forwardRequest("1"))
+			must.Error(t, err)
+			must.NoError(t, ctx.Err(), must.Sprint("the response is refused at once"))
+			must.False(t, wqtarget.FailureOf(err).NotRun(), must.Sprint("the searcher may have run the request"))
+		})
+	}
+}
