Withdraw requests that wait for a connection to a searcher that left

Cause: the searcher is chosen with the plan of that moment. Then the request waits in net/http for one of this VM's connections, until its own deadline, and nothing looks at the plan again. The connect timeout counts from the dial only. Ruled out: a late plan; the plan drops the searcher 2 s after it began to drain.

Now wqplan.MaySend compares the picked target with the plan in force, and io/wqtarget asks it when the wait begins, after each new plan and right before the first byte. The outcome Withheld proves that nothing was sent, so the request goes to another searcher. The same check holds for zones taken out, entries that ended, other addresses, restarts and searchers that became cold.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -103,6 +103,7 @@
 	client.MaxBufferedBytes = max(client.MaxBufferedBytes, int64(responseBufferShare*float64(h.Settings.MemoryLimit)))
 	h.searcherClient = client
 	h.controller.BeforePublish = h.setConnectionLimits
+	h.controller.AfterPublish = client.WithdrawWaiting
 	h.relay = h.newRelay(peers)
 	h.addGauges()
 	h.callerServer = &wqhttp.Server{Handler: h.callerHandler(), Timeouts: h.callerTimeouts, Log: h.Log}
@@ -159,7 +160,7 @@
 
 func (h *Host) newRelay(hubs wqrelay.HubClient) *wqrelay.Relay[*wqegress.Sender, wqplacement.NearestShards] {
 	return &wqrelay.Relay[*wqegress.Sender, wqplacement.NearestShards]{
-		Plan: h.controller.Plan, Sender: &wqegress.Sender{Client: h.searcherClient}, Tracker: wqselector.New(), Zone: h.Settings.Zone,
+		Plan: h.controller.Plan, Sender: &wqegress.Sender{Client: h.searcherClient, MaySend: h.maySend}, Tracker: wqselector.New(), Zone: h.Settings.Zone,
 		RetryQuota: wqretryquota.New(h.Settings.RetryLimits, time.Now()), HubClient: hubs,
 		Placement:       wqplacement.NearestShards{Zone: h.Settings.Zone, MinSavedShare: wqplacement.DefaultMinSavedShare},
 		OnWrongSearcher: h.controller.WrongSearcher, Metrics: h.metrics, Log: h.Log,
@@ -167,6 +168,9 @@
 	}
 }
 
+// maySend reports whether the plan in force still allows a send to a target.
+func (h *Host) maySend(t *wqdirectory.Target) bool { return h.controller.Plan().MaySend(time.Now(), t) }
+
 // callerHandler returns the HTTP handler of callers' requests.
 func (h *Host) callerHandler() http.Handler {
 	handler := &wqingress.Handler{Serve: h.relay.Serve, Reject: h.relay.Reject, MaxDuration: h.relay.MaxDuration, MaxBodyBytes: h.maxBodyBytes}
--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -165,7 +165,7 @@
 		return
 	}
 	s.maybeRun--
-	if r.Outcome == wqsend.Unreachable {
+	if r.Outcome == wqsend.Unreachable || r.Outcome == wqsend.Withheld {
 		s.maybeDelivered--
 	}
 	s.retryAt = now.Add(minBackoff << min(s.sendCount-1, 4))
--- a/core/wqplan/plan.go
+++ b/core/wqplan/plan.go
@@ -13,6 +13,8 @@
 package wqplan
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
@@ -50,5 +52,19 @@
 	return p.Table.Match(host, path)
 }
 
+// MaySend reports whether a request for which t was picked, maybe from an earlier plan,
+// may still be sent to it. It may not once the searcher has left its pool, has restarted
+// or has become cold: the request has to be placed again.
+func (p *Plan) MaySend(now time.Time, t *wqdirectory.Target) bool {
+	pool := p.Pools[t.Searcher.Service]
+	i, ok := slices.BinarySearchFunc(pool, t.Searcher.ID, func(t *wqdirectory.Target, id string) int { return strings.Compare(t.Searcher.ID, id) })
+	if !ok {
+		return false
+	}
+	current := pool[i]
+	becameCold := current.ColdStartRate > 0 && now.Before(current.ColdStartEnd) && !now.Before(t.ColdStartEnd)
+	return current.Searcher.Address == t.Searcher.Address && current.Incarnation == t.Incarnation && !becameCold
+}
+
 // Ready reports whether the load balancer should send callers to this VM.
 func (p *Plan) Ready() bool { return p != nil && p.Table != nil && !p.Stopping }
--- a/core/wqselector/tracker.go
+++ b/core/wqselector/tracker.go
@@ -101,7 +101,7 @@
 	case wqsend.Answered:
 		e.failures, e.backoffUntil = 0, time.Time{}
 		e.observe(now, elapsed, typical)
-	case wqsend.Cancelled:
+	case wqsend.Cancelled, wqsend.Withheld:
 		// Its full latency is unknown but longer, so it counts only if it is already slow.
 		if float64(elapsed) > e.currentSlowness(now)*float64(typical) {
 			e.observe(now, elapsed, typical)
--- a/core/wqsend/result.go
+++ b/core/wqsend/result.go
@@ -21,13 +21,14 @@
 	Unreachable                  // Unreachable means that nothing was sent.
 	Failed                       // Failed means that the searcher answered with an error; the request may have run.
 	Broken                       // Broken means a lost connection, no answer in time or a reply that violates the protocol; the request may have run.
+	Withheld                     // Withheld means that this VM sent nothing: the searcher may not be used any more, or the wait for a connection ended.
 	Cancelled                    // Cancelled means that this VM cancelled the send or its deadline passed; the request may have run.
 )
 
 // MayHaveRun reports whether the searcher may have started to run the request.
 func (o Outcome) MayHaveRun() bool {
 	switch o {
-	case Declined, WrongSearcher, Unreachable:
+	case Declined, WrongSearcher, Unreachable, Withheld:
 		return false
 	}
 	return true
@@ -35,7 +36,7 @@
 
 // String returns the name of the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "declined", "misplaced", "unreachable", "failed", "broken", "withdrawn"}[o]
+	return [...]string{"answered", "declined", "misplaced", "unreachable", "failed", "broken", "not_sent", "withdrawn"}[o]
 }
 
 // Result is the result of one send.
--- a/io/wqcontroller/controller.go
+++ b/io/wqcontroller/controller.go
@@ -64,6 +64,7 @@
 	Peers         PeerTransport
 	JoinDelay     time.Duration        // JoinDelay is the time from New until this VM takes the roles of store watcher and hub.
 	BeforePublish func(p *wqplan.Plan) // BeforePublish is called on the control goroutine with each new plan before Plan returns it.
+	AfterPublish  func()               // AfterPublish is called on the control goroutine once Plan returns a new plan.
 	Log           *slog.Logger
 
 	loop           *wqeventloop.Loop[message]
@@ -103,6 +104,7 @@
 		Peers:         noPeers{},
 		JoinDelay:     defaultJoinDelay,
 		BeforePublish: func(*wqplan.Plan) {},
+		AfterPublish:  func() {},
 		members:       &wqmember.Tracker{Self: self, Random: random, Timing: wqmember.DefaultTiming()},
 		Log:           slog.New(slog.DiscardHandler),
 		loop:          wqeventloop.New[message](inboxSize),
@@ -215,6 +217,7 @@
 	}
 	c.BeforePublish(plan)
 	c.plan.Store(plan)
+	c.AfterPublish()
 	c.nextPoolChange, c.dirty = next, false
 	if c.table != nil {
 		c.configuredOnce.Do(func() { close(c.configured) })
--- a/io/wqtarget/client.go
+++ b/io/wqtarget/client.go
@@ -18,6 +18,12 @@
 //		failure := wqtarget.FailureOf(err)
 //	}
 //
+// A request may wait for a connection for as long as its context allows. Its MaySend is
+// asked at the start of the wait, at WithdrawWaiting and right before the first byte:
+//
+//	request.MaySend = func() bool { return plan().MaySend(time.Now(), target) }
+//	client.WithdrawWaiting() // after each new plan
+//
 // When the error is a refusal by the searcher itself, the reply returned with it
 // still holds the searcher's incarnation and whether it is in cold start.
 package wqtarget
@@ -76,6 +82,7 @@
 
 	mu            sync.RWMutex
 	pools         map[string]*connectionPool
+	waiting       waitingExchanges
 	bufferedBytes atomic.Int64 // used part of MaxBufferedBytes
 }
 
@@ -136,6 +143,10 @@
 	return first
 }
 
+// WithdrawWaiting ends the requests that wait for a connection and whose MaySend is now
+// false. Call it when the answer of MaySend may have changed.
+func (c *Client) WithdrawWaiting() { c.waiting.withdraw() }
+
 func (c *Client) poolOf(s *wqtopology.Searcher) *connectionPool {
 	c.mu.RLock()
 	p := c.pools[s.ID]
--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -27,14 +27,18 @@
 	readFailed    atomic.Bool
 	closed        atomic.Bool
 	sendForbidden atomic.Bool // MaySend was false, so a request was not written
+	// mayBeSent is the check of the current request right before its first byte.
+	mayBeSent atomic.Pointer[func() bool]
 	// closedByClient is set when this client closes the connection after a failed
 	// request. The transport may still list the connection as idle.
 	closedByClient atomic.Bool
 	reportOnce     sync.Once
 }
 
-// beginRequest starts the next request and returns its number.
-func (c *connection) beginRequest() uint64 {
+// beginRequest starts the next request and returns its number. MayBeSent is called right
+// before its first byte.
+func (c *connection) beginRequest(mayBeSent func() bool) uint64 {
+	c.mayBeSent.Store(&mayBeSent)
 	for {
 		old := c.state.Load()
 		number := old&^phaseMask + requestNumberStep
@@ -67,7 +71,7 @@
 // previous check.
 func (c *connection) Write(b []byte) (int, error) {
 	state := c.state.Load()
-	if state&phaseMask == phaseUnwritten && !c.pool.maySend() {
+	if state&phaseMask == phaseUnwritten && !(c.pool.maySend() && (*c.mayBeSent.Load())()) {
 		c.sendForbidden.Store(true)
 		c.preventWrite(state &^ phaseMask)
 		return 0, net.ErrClosed
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -72,7 +72,10 @@
 type exchange struct {
 	client            *Client
 	searcher          *wqtopology.Searcher
-	beforeWrite       func() // nil for none; see ForwardRequest
+	beforeWrite       func()             // nil for none; see ForwardRequest
+	maySend           func() bool        // nil for always; see ForwardRequest
+	cancel            context.CancelFunc // ends the exchange while it waits for a connection; nil if maySend is
+	withdrawn         atomic.Bool        // maySend was false
 	conn              *connection
 	number            uint64 // request number on conn
 	status            int
@@ -85,6 +88,15 @@
 	number uint64
 }
 
+// mayBeSent reports whether the request may still be sent.
+func (x *exchange) mayBeSent() bool {
+	if x.maySend == nil || x.maySend() {
+		return true
+	}
+	x.withdrawn.Store(true)
+	return false
+}
+
 // withReplyGrace returns a context for a request and its reply. When ctx ends, the
 // returned context ends immediately if no byte was sent, and WriteReplyGrace later
 // otherwise: after a pause of this process the reply may already be in the socket
@@ -148,8 +160,11 @@
 // response.
 func (x *exchange) sendOnce(ctx context.Context, p *connectionPool, make func() (*http.Request, error)) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if x.maySend != nil {
+			x.client.waiting.remove(x)
+		}
 		x.conn = i.Conn.(*connection)
-		x.number = x.conn.beginRequest()
+		x.number = x.conn.beginRequest(x.mayBeSent)
 		x.currentConnection.Store(&requestConnection{x.conn, x.number})
 		if x.beforeWrite != nil {
 			x.beforeWrite()
@@ -160,6 +175,13 @@
 	if err != nil {
 		return nil, err
 	}
+	if x.maySend != nil {
+		x.client.waiting.add(x, x.cancel)
+		defer x.client.waiting.remove(x)
+		if !x.mayBeSent() {
+			return nil, errWithdrawn
+		}
+	}
 	return p.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 }
 
@@ -201,6 +223,10 @@
 	x.closeConnection()
 	status := wqobservation.Unreachable
 	switch {
+	case !sent && x.withdrawn.Load():
+		f := newFailure(wqobservation.NotRun, false, errWithdrawn.Error())
+		f.Withdrawn = true
+		return x.wrapFailure(f)
 	case ctx.Err() != nil:
 		status = wqobservation.Expired
 	case errors.Is(cause, errNoConnection), !sent && x.conn != nil && x.conn.sendForbidden.Load():
--- a/io/wqtarget/failure.go
+++ b/io/wqtarget/failure.go
@@ -13,6 +13,7 @@
 	Status    wqobservation.Status
 	MaybeSent bool // A byte of the request may have reached the searcher.
 	Refused   bool // The searcher itself refused the request; Status says why.
+	Withdrawn bool // Nothing was sent, because MaySend of the request was false.
 	Fault     *wqfault.Fault
 }
 
--- a/io/wqtarget/forward.go
+++ b/io/wqtarget/forward.go
@@ -22,6 +22,10 @@
 	// BeforeWrite, if set, may change Header. It is called once the request has a
 	// connection, right before it is written.
 	BeforeWrite func()
+	// MaySend, if set, reports whether the request may still be sent to this searcher.
+	// It is called while the request waits for a connection and right before its first
+	// byte, on any goroutine; it must not block.
+	MaySend func() bool
 	// Matches reports whether a response with this status code and header belongs
 	// to this request. It is called before the body is read; the connection of a
 	// response that does not match is closed.
@@ -39,10 +43,12 @@
 // Forward passes one request on and returns the searcher's complete response. The
 // request is written at most once. The error is a Failure.
 func (c *Client) Forward(ctx context.Context, s *wqtopology.Searcher, m ForwardRequest) (ForwardResponse, error) {
-	x := exchange{client: c, searcher: s, beforeWrite: m.BeforeWrite}
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	x := exchange{client: c, searcher: s, beforeWrite: m.BeforeWrite, maySend: m.MaySend, cancel: cancel}
 	p := c.poolOf(s)
 	defer p.closeExcess()
-	response, err := x.roundTrip(ctx, p, func() (*http.Request, error) { return m.httpRequest(p.baseURL) })
+	response, err := x.roundTrip(running, p, func() (*http.Request, error) { return m.httpRequest(p.baseURL) })
 	if err != nil {
 		return ForwardResponse{}, x.transportFailure(ctx, err)
 	}
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"wisteriaquay/core/wqtopology"
 	"wisteriaquay/io/wqtarget"
@@ -322,3 +323,59 @@
 		})
 	}
 }
+
+// Guards against requests that reach a searcher although it left while they waited for a
+// connection to it.
+func TestWaitingRequestIsWithdrawn(t *testing.T) {
+	busy := make(chan struct{})
+	s, requests := startRawSearcher(t, func(c net.Conn, _ int64, r *http.Request) {
+		<-busy
+		writeResponse(c, r.Header.Get("Request-Id"), "x")
+	})
+	s.Connections = 1
+	c := newTestClient(t)
+	var left atomic.Bool
+	forward := func(id string) error {
+		m := forwardRequest(id)
+		m.MaySend = func() bool { return !left.Load() }
+		_, err := c.Forward(t.Context(), s, m)
+		return err
+	}
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { first <- forward("1") }()
+	must.Wait(t, wait.InitialSuccess(wait.Timeout(5*time.Second), wait.Gap(time.Millisecond), wait.BoolFunc(func() bool { return requests.Load() == 1 })))
+	go func() { second <- forward("2") }()
+	select {
+	case err := <-second:
+		t.Fatalf("a request that may be sent did not wait: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	c.WithdrawWaiting()
+	left.Store(true)
+	c.WithdrawWaiting()
+	for _, err := range []error{<-second, forward("3")} {
+		must.Error(t, err)
+		must.True(t, wqtarget.FailureOf(err).Withdrawn)
+		must.True(t, wqtarget.FailureOf(err).NotRun())
+	}
+	close(busy)
+	must.NoError(t, <-first, must.Sprint("a request that was sent is not withdrawn"))
+	must.Eq(t, 1, requests.Load())
+}
+
+func TestSearcherThatLeavesRightBeforeTheFirstByteGetsNothing(t *testing.T) {
+	s, requests := startRawSearcher(t, func(c net.Conn, _ int64, r *http.Request) { writeResponse(c, r.Header.Get("Request-Id"), "x") })
+	c := newTestClient(t)
+	for _, kept := range []bool{false, true} {
+		m, left := forwardRequest("1"), false
+		m.BeforeWrite = func() { left = true }
+		m.MaySend = func() bool { return !left }
+		_, err := c.Forward(t.Context(), s, m)
+		must.True(t, wqtarget.FailureOf(err).Withdrawn, must.Sprintf("on a kept connection: %v", kept))
+		if !kept {
+			_, err = c.Forward(t.Context(), s, forwardRequest("2"))
+			must.NoError(t, err)
+		}
+	}
+	must.Eq(t, 1, requests.Load())
+}
--- a/io/wqtarget/pool.go
+++ b/io/wqtarget/pool.go
@@ -31,7 +31,10 @@
 	capacityChanged chan struct{} // closed and replaced when reserved falls or maxConnections changes
 }
 
-var errNoConnection = errors.New("all connections of this VM's share are in use")
+var (
+	errNoConnection = errors.New("all connections of this VM's share are in use")
+	errWithdrawn    = errors.New("the searcher may not be used any more")
+)
 
 func (c *Client) newPool(s *wqtopology.Searcher) *connectionPool {
 	id := s.ID
