Send each try of a request on a connection of its own

Cause: all tries of a request have the same Request-Id. A searcher's late copy of its rejection arrived on the connection of the first try, which the second try used again, and was taken for the answer to it: Not-Executed, with the right id.

Now a connection remembers the ids that it carried without success and carries no other try of them, at most 256. The try takes another connection before anything is written.

TestLateCopyOfARejectionIsNotTakenForTheNextTry failed before: 503 in place of 200.

--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -33,6 +33,7 @@
 	// request. The transport may still list the connection as idle.
 	closedByClient atomic.Bool
 	reportOnce     sync.Once
+	unsuccessful   unsuccessfulIDs
 }
 
 // beginRequest starts the next request and returns its number. MayBeSent is called right
--- a/io/wqtarget/decode.go
+++ b/io/wqtarget/decode.go
@@ -45,6 +45,7 @@
 	case wqobservation.Answered, wqobservation.Broken:
 		return x.protocolFailure("status 503 without a known refusal")
 	}
+	x.recordUnsuccessful()
 	x.conn.endRequest(x.number)
 	return x.wrapFailure(newRefusal(x.searcher.ID, r))
 }
--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return WriteReply{}, newFailure(wqobservation.NotRun, false, err.Error())
 	}
-	x := exchange{client: c, searcher: s}
+	x := exchange{client: c, searcher: s, id: w.RequestID}
 	running, end := x.withReplyGrace(ctx)
 	defer end()
 	raw, err := x.do(running, http.MethodPost, "/v1/write", body)
@@ -72,6 +72,7 @@
 type exchange struct {
 	client            *Client
 	searcher          *wqtopology.Searcher
+	id                string             // of the request, the same for all its tries; empty for none
 	beforeWrite       func()             // nil for none; see ForwardRequest
 	maySend           func() bool        // nil for always; see ForwardRequest
 	cancel            context.CancelFunc // ends the exchange while it waits for a connection; nil if maySend is
@@ -166,6 +167,10 @@
 		x.conn = i.Conn.(*connection)
 		x.number = x.conn.beginRequest(x.mayBeSent)
 		x.currentConnection.Store(&requestConnection{x.conn, x.number})
+		if x.id != "" && !x.conn.unsuccessful.mayCarry(x.id) {
+			x.closeConnection() // Nothing was written, so roundTrip takes another one.
+			return
+		}
 		if x.beforeWrite != nil {
 			x.beforeWrite()
 		}
@@ -244,6 +249,13 @@
 	return x.wrapFailure(newFailure(wqobservation.Broken, true, message))
 }
 
+// recordUnsuccessful keeps further tries of the request off its connection.
+func (x *exchange) recordUnsuccessful() {
+	if x.id != "" {
+		x.conn.unsuccessful.add(x.id)
+	}
+}
+
 func (x *exchange) closeConnection() {
 	if x.conn != nil {
 		x.conn.closedByClient.Store(true)
--- a/io/wqtarget/forward.go
+++ b/io/wqtarget/forward.go
@@ -13,6 +13,9 @@
 
 // ForwardRequest is an HTTP request that is passed on unchanged.
 type ForwardRequest struct {
+	// ID identifies the request over all its tries; empty for none. A connection on which
+	// a try had no success carries no other try of the same request.
+	ID     string
 	Method string
 	Host   string // Value of the Host header.
 	Path   string // Path with its escapes, sent unchanged.
@@ -45,7 +48,7 @@
 func (c *Client) Forward(ctx context.Context, s *wqtopology.Searcher, m ForwardRequest) (ForwardResponse, error) {
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
-	x := exchange{client: c, searcher: s, beforeWrite: m.BeforeWrite, maySend: m.MaySend, cancel: cancel}
+	x := exchange{client: c, searcher: s, id: m.ID, beforeWrite: m.BeforeWrite, maySend: m.MaySend, cancel: cancel}
 	p := c.poolOf(s)
 	defer p.closeExcess()
 	response, err := x.roundTrip(running, p, func() (*http.Request, error) { return m.httpRequest(p.baseURL) })
@@ -59,6 +62,9 @@
 	if !m.Matches(response.StatusCode, response.Header) {
 		return ForwardResponse{}, x.protocolFailure("the response does not belong to this request")
 	}
+	if response.StatusCode >= http.StatusMultipleChoices {
+		x.recordUnsuccessful()
+	}
 	body, err := x.readBody(ctx, response)
 	if err != nil {
 		return ForwardResponse{}, err
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -379,3 +379,59 @@
 	}
 	must.Eq(t, 1, requests.Load())
 }
+
+// rejection returns the bytes of a rejection that proves that the request did not run.
+func rejection(id string) string {
+	return "HTTP/1.1 503 Full\r\nRequest-Id: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against requests that run twice: a searcher sends a late copy of its rejection
+// on a connection that is in use again, and all tries of a request have the same id.
+func TestLateCopyOfARejectionIsNotTakenForTheNextTry(t *testing.T) {
+	var mu sync.Mutex
+	requestsOn := make(map[net.Conn]int)
+	s, _ := startRawSearcher(t, func(c net.Conn, n int64, r *http.Request) {
+		id := r.Header.Get("Request-Id")
+		mu.Lock()
+		requestsOn[c]++
+		isReused := requestsOn[c] > 1
+		mu.Unlock()
+		if n == 1 || isReused {
+			_, _ = io.WriteString(c, rejection(id))
+		}
+		if n > 1 {
+			writeResponse(c, id, "x")
+		}
+	})
+	c := newTestClient(t)
+	m := forwardRequest("1")
+	m.ID, m.Method = "1", http.MethodPost
+	r, err := c.Forward(t.Context(), s, m)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, r.StatusCode)
+	time.Sleep(20 * time.Millisecond) // The connection is idle again.
+	r, err = c.Forward(t.Context(), s, m)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, r.StatusCode, must.Sprint("the copy of the first answer was taken for the second"))
+}
+
+func TestConnectionIsReusedForOtherRequestsAfterARejection(t *testing.T) {
+	var connections sync.Map
+	s, requests := startRawSearcher(t, func(c net.Conn, _ int64, r *http.Request) {
+		connections.Store(c, true)
+		_, _ = io.WriteString(c, rejection(r.Header.Get("Request-Id")))
+	})
+	c := newTestClient(t)
+	const requestCount = 300
+	for i := range requestCount {
+		m := forwardRequest(fmt.Sprint(i))
+		m.ID = fmt.Sprint(i)
+		_, err := c.Forward(t.Context(), s, m)
+		must.NoError(t, err)
+		time.Sleep(time.Millisecond) // The connection is idle again.
+	}
+	count := 0
+	connections.Range(func(any, any) bool { count++; return true })
+	must.Eq(t, requestCount, requests.Load())
+	must.Eq(t, 2, count, must.Sprint("a connection remembers 256 ids"))
+}
