Do not take the refusal of another write for that of this one

Found on the path of the fault before: the JSON protocol of 'serve' did not compare the request id of a refusal, so a late copy of one refusal proved that another write had not run, and it could have been sent to a second searcher.

Now a refusal with another id breaks the connection, and the outcome is unknown. A refusal without an id counts as before: searchers may leave it out.

The new case of TestOnlySearchersOwnRefusalProvesNotRun failed before.

--- a/io/wqtarget/client_test.go
+++ b/io/wqtarget/client_test.go
@@ -146,6 +146,8 @@
 		{503, `{"incarnation":"a","refusal":"shed"}`, wqobservation.Shed, true},
 		{503, `{"incarnation":"a","refusal":"draining"}`, wqobservation.Draining, true},
 		{503, `{"incarnation":"a","refusal":"not_run"}`, wqobservation.NotRun, true},
+		{503, `{"request_id":"t-1","refusal":"shed"}`, wqobservation.Shed, true},
+		{503, `{"request_id":"t-2","refusal":"shed"}`, wqobservation.Broken, false}, // A late copy of the refusal of another request.
 		{503, `{"refusal":"perhaps"}`, wqobservation.Broken, false},
 		{503, `{}`, wqobservation.Broken, false},
 		{503, `upstream connect error`, wqobservation.Broken, false},
--- a/io/wqtarget/decode.go
+++ b/io/wqtarget/decode.go
@@ -28,10 +28,11 @@
 	if err := json.Unmarshal(raw, &reply); err != nil {
 		return WriteReply{}, x.protocolFailure("the reply is not valid: " + err.Error())
 	}
-	if x.status == http.StatusServiceUnavailable {
+	isRefusal := x.status == http.StatusServiceUnavailable
+	if isRefusal && (reply.RequestID == "" || reply.RequestID == w.RequestID) {
 		return reply, x.refusalError(reply.Refusal)
 	}
-	if reply.RequestID != w.RequestID {
+	if isRefusal || reply.RequestID != w.RequestID {
 		return WriteReply{}, x.protocolFailure(fmt.Sprintf("the reply names request %q instead of %q", reply.RequestID, w.RequestID))
 	}
 	x.conn.endRequest(x.number)
