Count a request as in progress until its reply is written

A planned stop ends the process once no request is in progress, but a request was counted only until its handler returned, and net/http writes the end of a reply after that. A process that was short of processor time at that moment exited with the reply unwritten.

Now a connection counts from the first byte of a request until net/http reports it idle or closed.

TestReplyInProgressIsInFlightUntilItIsWritten failed before: 0 in flight while the write waits.

--- a/io/wqhttp/server.go
+++ b/io/wqhttp/server.go
@@ -16,7 +16,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,9 +42,9 @@
 
 	server      *http.Server
 	prepareOnce sync.Once
-	inFlight    atomic.Int64
 	mutex       sync.Mutex
 	waiting     map[net.Conn]waitState // connections that are idle or receive a header
+	active      map[net.Conn]struct{}  // connections with a request in progress, from its first byte to the end of its reply
 }
 
 // waitState holds since when a connection has been idle or receiving a header.
@@ -76,12 +75,18 @@
 	return nil
 }
 
-// InFlight returns the number of requests in progress.
-func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+// InFlight returns the number of requests that are being received, handled or replied
+// to. The HTTP server writes the end of a reply after its handler has returned.
+func (s *Server) InFlight() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.active)
+}
 
 func (s *Server) prepare() {
 	s.prepareOnce.Do(func() {
 		s.waiting = make(map[net.Conn]waitState)
+		s.active = make(map[net.Conn]struct{})
 		s.server = &http.Server{
 			Handler:        http.HandlerFunc(s.serve),
 			ConnState:      s.connStateChanged,
@@ -96,8 +101,6 @@
 type connKey struct{}
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
 	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
 		s.clearWaiting(c)
 	}
@@ -107,20 +110,17 @@
 // connStateChanged tracks which connections are idle or receive a header. The HTTP
 // server reports StateActive at the first byte of a request.
 func (s *Server) connStateChanged(c net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew, http.StateActive:
-		s.setWaiting(c, waitState{since: time.Now(), idle: state == http.StateNew})
-	case http.StateIdle:
-		s.setWaiting(c, waitState{since: time.Now(), idle: true})
-	default:
-		s.clearWaiting(c)
-	}
-}
-
-func (s *Server) setWaiting(c net.Conn, w waitState) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.waiting[c] = w
+	delete(s.active, c)
+	delete(s.waiting, c)
+	switch state {
+	case http.StateNew, http.StateIdle:
+		s.waiting[c] = waitState{since: time.Now(), idle: true}
+	case http.StateActive:
+		s.waiting[c] = waitState{since: time.Now()}
+		s.active[c] = struct{}{}
+	}
 }
 
 func (s *Server) clearWaiting(c net.Conn) {
--- a/io/wqhttp/server_test.go
+++ b/io/wqhttp/server_test.go
@@ -82,3 +82,46 @@
 	must.NoError(t, s.Stop(t.Context()))
 	must.NoError(t, <-ended)
 }
+
+// slowListener accepts connections whose writes wait until released is closed.
+type slowListener struct {
+	net.Listener
+	released <-chan struct{}
+}
+
+type slowConn struct {
+	net.Conn
+	released <-chan struct{}
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return slowConn{c, l.released}, err
+}
+
+func (c slowConn) Write(b []byte) (int, error) {
+	<-c.released
+	return c.Conn.Write(b)
+}
+
+// Guards against a stop that ends while the last bytes of a reply are still unwritten.
+func TestReplyInProgressIsInFlightUntilItIsWritten(t *testing.T) {
+	released, handled := make(chan struct{}), make(chan struct{})
+	s := &wqhttp.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { close(handled) }), Timeouts: func() wqhttp.Timeouts { return wqhttp.Timeouts{} }, Log: slog.New(slog.DiscardHandler)}
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(slowListener{l, released}) }()
+	c, r := dial(t, l.Addr().String())
+	got := make(chan error, 1)
+	go func() { got <- get(t, c, r) }()
+	<-handled
+	time.Sleep(50 * time.Millisecond) // The handler has returned.
+	must.Eq(t, 1, s.InFlight())
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	close(released)
+	must.NoError(t, <-got)
+	must.NoError(t, <-stopped)
+	must.Eq(t, 0, s.InFlight())
+}
