Serve requests on connections that were accepted before a stop

Now Stop closes the listener and idle connections and goes on to serve what arrives on the others, with Connection: close, until no request is in progress.

TestRequestOnANewConnectionIsServedWhileStopping failed before: unexpected EOF.

--- a/io/wqhttp/server.go
+++ b/io/wqhttp/server.go
@@ -16,15 +16,17 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
 const (
-	sweepInterval  = 250 * time.Millisecond // interval between checks for overdue connections
-	idleGrace      = time.Second            // added to the idle timeout, so that requests sent in time arrive
-	maxHeaderBytes = 1 << 20                // of a request header; not configurable
+	stopPollInterval = 10 * time.Millisecond  // interval between checks whether all requests have ended
+	sweepInterval    = 250 * time.Millisecond // interval between checks for overdue connections
+	idleGrace        = time.Second            // added to the idle timeout, so that requests sent in time arrive
+	maxHeaderBytes   = 1 << 20                // of a request header; not configurable
 )
 
 // Timeouts are the timeouts of callers' connections.
@@ -42,6 +44,9 @@
 
 	server      *http.Server
 	prepareOnce sync.Once
+	stopping    atomic.Bool
+	stopped     chan struct{} // closed when Stop returns
+	listener    net.Listener  // guarded by mutex
 	mutex       sync.Mutex
 	waiting     map[net.Conn]waitState // connections that are idle or receive a header
 	active      map[net.Conn]struct{}  // connections with a request in progress, from its first byte to the end of its reply
@@ -59,20 +64,45 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go s.sweep(ctx)
-	if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return eris.Wrapf(err, "serve callers on %s", l.Addr())
+	s.mutex.Lock()
+	s.listener = l
+	s.mutex.Unlock()
+	err := s.server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || s.stopping.Load() {
+		<-s.stopped
+		return nil
 	}
-	return nil
+	return eris.Wrapf(err, "serve callers on %s", l.Addr())
 }
 
-// Stop closes the listener and idle connections and waits for requests in progress.
-// When ctx ends it closes their connections and returns an error.
+// Stop closes the listener and idle connections and waits for requests in progress. A
+// request on a connection that was accepted before is still served, with
+// "Connection: close"; http.Server.Shutdown would close such a connection without a
+// reply. When ctx ends, Stop closes the connections of the requests in progress and
+// returns an error. Later calls return at once.
 func (s *Server) Stop(ctx context.Context) error {
 	s.prepare()
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Join(eris.Wrap(err, "requests of callers were aborted at the stop timeout"), s.server.Close())
+	if s.stopping.Swap(true) {
+		return nil
+	}
+	defer close(s.stopped)
+	s.server.SetKeepAlivesEnabled(false)
+	s.mutex.Lock()
+	l := s.listener
+	s.mutex.Unlock()
+	if l != nil {
+		_ = l.Close() // It is closed even if Close returns an error.
+	}
+	t := time.NewTicker(stopPollInterval)
+	defer t.Stop()
+	for s.InFlight() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return errors.Join(eris.Wrap(ctx.Err(), "requests of callers were aborted at the stop timeout"), s.server.Close())
+		}
 	}
-	return nil
+	return s.server.Close()
 }
 
 // InFlight returns the number of requests that are being received, handled or replied
@@ -87,6 +117,7 @@
 	s.prepareOnce.Do(func() {
 		s.waiting = make(map[net.Conn]waitState)
 		s.active = make(map[net.Conn]struct{})
+		s.stopped = make(chan struct{})
 		s.server = &http.Server{
 			Handler:        http.HandlerFunc(s.serve),
 			ConnState:      s.connStateChanged,
--- a/io/wqhttp/server_test.go
+++ b/io/wqhttp/server_test.go
@@ -125,3 +125,26 @@
 	must.NoError(t, <-stopped)
 	must.Eq(t, 0, s.InFlight())
 }
+
+// Guards against a stop that closes a connection right after it has read a request.
+func TestRequestOnANewConnectionIsServedWhileStopping(t *testing.T) {
+	busy := make(chan struct{})
+	s, address := startServer(t, func() wqhttp.Timeouts { return wqhttp.Timeouts{} }, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			<-busy
+		}
+	})
+	first, _ := dial(t, address)
+	_, err := io.WriteString(first, "GET /busy HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	second, reader := dial(t, address)
+	time.Sleep(50 * time.Millisecond) // Both connections are accepted.
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(t.Context()) }()
+	time.Sleep(50 * time.Millisecond)
+	must.NoError(t, get(t, second, reader))
+	_, err = reader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	close(busy)
+	must.NoError(t, <-stopped)
+}
