Reply to all requests before a planned stop closes connections

Cause: wqdrain closed connections at the end of the grace with requests in progress, and nothing ended those first; sends went out until then.

Now nothing is sent once the balancer has noticed the stop: what waits, and what arrives later, is refused as not run. The new phase Ending, before connections are closed, makes each request that is left reply with what it has. Cancelled sends are awaited, since a send that waited for a connection proves that nothing ran; that also holds at deadlines. Hubs that stop refuse fan-outs before they begin.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -168,8 +168,11 @@
 	}
 }
 
-// maySend reports whether the plan in force still allows a send to a target.
-func (h *Host) maySend(t *wqdirectory.Target) bool { return h.controller.Plan().MaySend(time.Now(), t) }
+// maySend reports whether a request may still be sent to a target: the plan in force
+// allows it, and a stop of this VM has not ended all sends.
+func (h *Host) maySend(t *wqdirectory.Target) bool {
+	return !h.relay.SendsEnded() && h.controller.Plan().MaySend(time.Now(), t)
+}
 
 // callerHandler returns the HTTP handler of callers' requests.
 func (h *Host) callerHandler() http.Handler {
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -20,6 +20,7 @@
 const (
 	balancerLag         = 2500 * time.Millisecond // Time in which the balancer still sends new connections after readiness fails: two checks a second apart, and the duration of the second.
 	stopMargin          = 500 * time.Millisecond  // Part of the time until SIGKILL for the exit of the process.
+	endReserve          = 200 * time.Millisecond  // Part of the stop's timeout for the replies to requests that are left.
 	closeReserve        = 200 * time.Millisecond  // Part of the stop's timeout for closing connections.
 	headerTimeout       = 2 * time.Second         // For the header of a request to any listener but the callers'.
 	storeDialTimeout    = 500 * time.Millisecond  // The store is milliseconds away.
@@ -62,7 +63,7 @@
 		protocols := new(http.Protocols)
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
-		peers := &http.Server{Handler: (&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		peers := &http.Server{Handler: (&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer, RefusesFanOuts: h.relay.SendsEnded}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
 		servers["peers"] = func() error { return peers.Serve(l) }
 	}
 	for name, serve := range servers {
@@ -90,19 +91,24 @@
 	return mux
 }
 
-// stop runs a graceful stop: it serves until the balancer has noticed, lets
-// requests in progress finish, and closes the callers' server.
+// stop runs a graceful stop: it serves until the balancer has noticed, lets requests
+// in flight finish, replies to all others, and closes the callers' server.
 func (h *Host) stop(ctx context.Context) error {
 	s := &wqstop.Stopper{
-		Drain: &wqdrain.Drain{BalancerLag: balancerLag, Timeout: h.Settings.StopLimit - stopMargin, CloseReserve: closeReserve},
+		Drain: &wqdrain.Drain{BalancerLag: balancerLag, Timeout: h.Settings.StopLimit - stopMargin, EndReserve: endReserve, CloseReserve: closeReserve},
 		CountWork: func() wqdrain.Work {
 			return wqdrain.Work{Requests: h.callerServer.InFlight(), SendsInFlight: int(h.peerFanOuts.Load())}
 		},
 		OnPhase: func(ctx context.Context, p wqdrain.Phase) {
-			if p == wqdrain.Draining {
+			switch p {
+			case wqdrain.Draining:
+				h.relay.EndSends()
+				h.searcherClient.WithdrawWaiting()
 				if err := h.callerServer.Stop(ctx); err != nil {
 					h.Log.Warn("connections of callers were closed before their requests finished", "error", err)
 				}
+			case wqdrain.Ending:
+				h.relay.EndRequests()
 			}
 		},
 	}
--- a/core/wqdrain/drain.go
+++ b/core/wqdrain/drain.go
@@ -3,14 +3,15 @@
 // until the load balancer has taken it out. Then it accepts no new requests
 // while those in flight finish and its tickets are settled or expire, and then
 // it closes its connections. A timeout bounds the whole stop, even when requests
-// hang.
+// hang: those that are left shortly before it get a reply in the Ending phase, so
+// that no connection is closed without one.
 //
 // # Usage
 //
 // One goroutine calls Begin at the first signal and then Advance until it
 // returns Closed, doing the work of each phase when it is entered:
 //
-//	d := &wqdrain.Drain{BalancerLag: 2 * time.Second, Timeout: 45 * time.Second, CloseReserve: time.Second}
+//	d := &wqdrain.Drain{BalancerLag: 2 * time.Second, Timeout: 45 * time.Second, EndReserve: time.Second, CloseReserve: time.Second}
 //	d.Begin(now)
 //	switch d.Advance(now, work) { ... }
 //
@@ -33,6 +34,7 @@
 	Serving  Phase = iota // Serving is the phase before the stop.
 	Unready               // Unready VMs fail their readiness check and announce to peers that they leave, but keep serving.
 	Draining              // Draining VMs accept no new callers and finish the work in flight.
+	Ending                // Ending VMs reply to the requests that are left: refusals to those that have not run.
 	Closing               // Closing VMs end their peer connections and announce to peers that they have left.
 	Closed                // Closed VMs exit.
 )
@@ -51,6 +53,7 @@
 type Drain struct {
 	BalancerLag  time.Duration // BalancerLag is how long callers still arrive after the readiness check fails.
 	Timeout      time.Duration // Timeout bounds the time from Begin to Closed.
+	EndReserve   time.Duration // EndReserve is the part of Timeout that is reserved for Ending; 0 skips it.
 	CloseReserve time.Duration // CloseReserve is the part of Timeout that is reserved for Closing.
 
 	phase   Phase
@@ -74,7 +77,10 @@
 	if d.phase == Unready && !now.Before(d.begunAt.Add(d.BalancerLag)) {
 		d.phase = Draining
 	}
-	if d.phase == Draining && w.Empty() {
+	if d.phase > Serving && d.phase < Ending && !now.Before(d.EndAt()) {
+		d.phase = Ending
+	}
+	if (d.phase == Draining || d.phase == Ending) && w.Empty() {
 		d.phase = Closing
 	}
 	if d.phase < Closing && d.phase > Serving && !now.Before(d.closeAt()) {
@@ -100,8 +106,10 @@
 func (d *Drain) NextAdvance() time.Time {
 	switch d.phase {
 	case Unready:
-		return wqtime.Earlier(d.begunAt.Add(d.BalancerLag), d.closeAt())
+		return wqtime.Earlier(d.begunAt.Add(d.BalancerLag), d.EndAt())
 	case Draining:
+		return d.EndAt()
+	case Ending:
 		return d.closeAt()
 	default:
 		return d.Deadline()
@@ -111,6 +119,9 @@
 // Deadline returns the latest time at which the VM exits.
 func (d *Drain) Deadline() time.Time { return d.begunAt.Add(d.Timeout) }
 
+// EndAt returns when Ending starts at the latest.
+func (d *Drain) EndAt() time.Time { return d.closeAt().Add(-d.EndReserve) }
+
 // Aborted returns the work that was still in flight when the time for it ran
 // out; it is empty when all work finished.
 func (d *Drain) Aborted() Work { return d.aborted }
--- a/core/wqdrain/drain_test.go
+++ b/core/wqdrain/drain_test.go
@@ -75,3 +75,17 @@
 		}
 	})
 }
+
+// Guards against a stop that closes connections whose requests have no reply yet.
+func TestRequestsThatAreLeftEndBeforeConnectionsClose(t *testing.T) {
+	d := newDrain()
+	d.EndReserve = 500 * time.Millisecond
+	d.Begin(start)
+	hanging := Work{Requests: 1}
+	must.Eq(t, Draining, d.Advance(start.Add(43*time.Second), hanging))
+	must.Eq(t, start.Add(43500*time.Millisecond), d.NextAdvance())
+	must.Eq(t, Ending, d.Advance(d.NextAdvance(), hanging))
+	must.Eq(t, start.Add(44*time.Second), d.NextAdvance())
+	must.Eq(t, Closing, d.Advance(start.Add(43600*time.Millisecond), Work{}))
+	must.True(t, d.Aborted().Empty())
+}
--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -76,6 +76,7 @@
 	Random       func() uint64
 	PartialAfter time.Time // PartialAfter is the time to return a partial answer to meet the objective; zero is never.
 	Deadline     time.Time
+	LastSendAt   time.Time       // LastSendAt is the time from which nothing is sent any more, because the VM stops; zero is never.
 	Results      []wqsend.Result // Results holds the answer of each service, or its last failure until Answered is true.
 
 	progress             []serviceProgress
@@ -186,7 +187,7 @@
 	if s.answered || s.closed {
 		return sends
 	}
-	if s.maybeRun >= g.maxAttempts() || s.sendCount >= maxSendsPerService {
+	if g.sendsEnded(now) || s.maybeRun >= g.maxAttempts() || s.sendCount >= maxSendsPerService {
 		s.closed = len(s.inFlight) == 0
 		return sends
 	}
@@ -205,6 +206,11 @@
 	return append(sends, g.send(now, i, t))
 }
 
+// sendsEnded reports whether LastSendAt is set and has passed.
+func (g *Gather[P, H]) sendsEnded(now time.Time) bool {
+	return !g.LastSendAt.IsZero() && !now.Before(g.LastSendAt)
+}
+
 // pickTarget picks a searcher that this request was not sent to, nil if there is
 // none. When all refused, it picks any of them once the backoff is over.
 func (g *Gather[P, H]) pickTarget(now time.Time, targets []*wqdirectory.Target, s *serviceProgress) *wqdirectory.Target {
@@ -252,10 +258,13 @@
 	if !g.PartialAfter.IsZero() && now.Before(g.PartialAfter) {
 		next = wqtime.Earlier(next, g.PartialAfter)
 	}
+	if !g.LastSendAt.IsZero() && now.Before(g.LastSendAt) {
+		next = wqtime.Earlier(next, g.LastSendAt)
+	}
 	for i := range g.progress {
 		s := &g.progress[i]
 		switch {
-		case s.answered, s.closed:
+		case s.answered, s.closed, g.sendsEnded(now):
 		case len(s.inFlight) == 0:
 			next = wqtime.Earlier(next, wqtime.Later(s.retryAt, now.Add(time.Millisecond)))
 		case g.Route.Idempotent && s.maybeRun < g.maxAttempts() && s.sendCount < maxSendsPerService:
--- a/core/wqgather/gather_test.go
+++ b/core/wqgather/gather_test.go
@@ -185,3 +185,22 @@
 		must.Eq(t, want, tr.State(tr.now))
 	}
 }
+
+// Guards against sends late in a stop, which would be cut: from LastSendAt on, what waits
+// is refused, and what is in flight may finish.
+func TestNothingIsSentFromLastSendAtOn(t *testing.T) {
+	tr := newTestRequest(1, wqroute.Route{Attempts: 2, Idempotent: true})
+	send := tr.Start(tr.now, tr.pools)[0]
+	tr.LastSendAt = tr.now.Add(10 * time.Millisecond)
+	must.Eq(t, tr.LastSendAt, tr.NextWake(tr.now))
+	must.Len(t, 0, tr.wake(100*time.Millisecond), must.Sprint("a hedge"))
+	must.Eq(t, wqgather.Pending, tr.State(tr.now))
+	must.Eq(t, tr.Deadline, tr.NextWake(tr.now))
+	must.Len(t, 0, tr.endSend(send, wqsend.Declined), must.Sprint("a retry"))
+	must.Eq(t, wqgather.Refused, tr.State(tr.now))
+
+	late := newTestRequest(1, wqroute.Route{Attempts: 2})
+	late.LastSendAt = late.now
+	must.Len(t, 0, late.Start(late.now, late.pools))
+	must.Eq(t, wqgather.Refused, late.State(late.now))
+}
--- a/io/wqpeer/fanout.go
+++ b/io/wqpeer/fanout.go
@@ -148,6 +148,10 @@
 		http.Error(w, "the request for a fan-out is malformed; run the same release on all VMs", http.StatusBadRequest)
 		return
 	}
+	if h.RefusesFanOuts != nil && h.RefusesFanOuts() {
+		http.Error(w, "this VM stops; send the fan-out to another hub", http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
 	if err := http.NewResponseController(w).Flush(); err != nil {
--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -20,6 +20,9 @@
 	Controller *wqcontroller.Controller
 	// ServeRoute runs a call on a route that another VM has chosen.
 	ServeRoute func(ctx context.Context, c *wqcall.Call, route *wqroute.Route) wqcall.Reply
+	// RefusesFanOuts reports whether this VM runs no more fan-outs for others, because it
+	// stops; nil for never.
+	RefusesFanOuts func() bool
 }
 
 // Routes returns the handler of the peer listener.
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -19,6 +19,7 @@
 	latency    *wqlatency.Estimator
 	gather     *wqgather.Gather[wqselector.LeastLatency, hedgePolicy]
 	results    chan sendResult
+	replied    chan struct{} // closed when the request has its reply
 	cancels    map[int]context.CancelFunc
 	sendCounts wqcall.Sends
 }
@@ -32,6 +33,7 @@
 // run drives the request to its end and returns the reply with the counts of its
 // sends.
 func (d *driver[S, P]) run(ctx context.Context) wqcall.Reply {
+	defer close(d.replied)
 	reply := d.runToEnd(ctx)
 	reply.Sends = d.sendCounts
 	return reply
@@ -42,10 +44,15 @@
 func (d *driver[S, P]) runToEnd(ctx context.Context) wqcall.Reply {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	sendsEnded, ended := d.relay.stopping.channels()
 	d.startSends(ctx, d.gather.Start(time.Now(), d.relay.Plan().Pools))
 	for {
 		now := time.Now()
-		if s := d.gather.State(now); s != wqgather.Pending {
+		switch s := d.gather.State(now); s {
+		case wqgather.Pending:
+		case wqgather.Expired:
+			return d.settle(ctx)
+		default:
 			return d.reply(s)
 		}
 		timer.Reset(d.gather.NextWake(now).Sub(now))
@@ -54,12 +61,43 @@
 			return wqcall.Reply{Status: wqcall.CallerGone, Reason: "the caller disconnected"}
 		case r := <-d.results:
 			d.handleResult(ctx, r)
+		case <-sendsEnded:
+			sendsEnded = nil
+			d.gather.LastSendAt = time.Now()
+			d.startSends(ctx, d.gather.Wake(time.Now(), d.relay.Plan().Pools)) // Sends nothing; closes what waits.
+		case <-ended:
+			return d.settle(ctx)
 		case <-timer.C:
 			d.startSends(ctx, d.gather.Wake(time.Now(), d.relay.Plan().Pools))
 		}
 	}
 }
 
+// settle ends the request with the results at hand. It cancels the sends in flight and
+// collects their results, since a send that still waits for a connection has not run.
+func (d *driver[S, P]) settle(ctx context.Context) wqcall.Reply {
+	d.gather.LastSendAt = time.Now()
+	for _, cancel := range d.cancels {
+		cancel()
+	}
+	t := time.NewTimer(settleTimeout)
+	defer t.Stop()
+	for inTime := true; inTime && d.gather.InFlight() > 0; {
+		select {
+		case r := <-d.results:
+			d.handleResult(ctx, r)
+		case <-t.C:
+			inTime = false
+		}
+	}
+	d.gather.Wake(time.Now(), d.relay.Plan().Pools) // Nothing is sent; services without a send are closed.
+	state := d.gather.State(time.Now())
+	if state == wqgather.Pending { // A cancelled send has not returned.
+		state = wqgather.Failed
+	}
+	return d.reply(state)
+}
+
 func (d *driver[S, P]) handleResult(ctx context.Context, r sendResult) {
 	delete(d.cancels, r.send.ID)
 	d.startSends(ctx, d.gather.HandleResult(time.Now(), d.relay.Plan().Pools, r.send, r.result))
@@ -117,7 +155,7 @@
 	}
 	select {
 	case d.results <- sendResult{send: s, result: result}:
-	case <-ctx.Done():
+	case <-d.replied:
 	}
 }
 
--- a/io/wqrelay/hub.go
+++ b/io/wqrelay/hub.go
@@ -49,6 +49,8 @@
 	}
 	hubCtx, cancel := context.WithDeadline(ctx, c.Arrived.Add(maxDuration(c, route)))
 	defer cancel()
+	hubCtx, release := r.stopping.withEnd(hubCtx)
+	defer release()
 	picker := wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone}
 	var tried []string
 	for range maxHubAttempts {
@@ -127,7 +129,12 @@
 // endedReply returns the reply for a request whose ctx ended: the caller disconnected
 // or the deadline passed. MayHaveRun is false if no hub started the request.
 func endedReply(ctx context.Context, mayHaveRun bool) wqcall.Reply {
+	stopped := errors.Is(context.Cause(ctx), errStopping)
 	switch {
+	case stopped && mayHaveRun:
+		return wqcall.Reply{Status: wqcall.Unavailable, Reason: "this VM stops before the hub answered"}
+	case stopped:
+		return wqcall.Reply{Status: wqcall.NotRun, Reason: errStopping.Error(), RetryAfter: wqretryafter.Stopping}
 	case !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return wqcall.Reply{Status: wqcall.CallerGone, Reason: "the caller disconnected"}
 	case mayHaveRun:
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -72,6 +72,7 @@
 
 	serviceRotation wqroute.WeightedRoundRobin
 	latencies       wqlatency.Registry
+	stopping        stopSignal
 }
 
 // StartupWait decides whether a request that arrives before the first configuration
@@ -179,7 +180,7 @@
 	latency := r.latencies.Estimator(route.Name, route.Objective)
 	d := &driver[S, P]{
 		relay: r, call: c, latency: latency, cancels: make(map[int]context.CancelFunc),
-		results: make(chan sendResult, len(services)),
+		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
 		gather: &wqgather.Gather[wqselector.LeastLatency, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
 			Picker:      wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: sharerCount},
@@ -187,6 +188,9 @@
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
 	}
+	if r.SendsEnded() {
+		d.gather.LastSendAt = time.Now()
+	}
 	if route.FanOut() && route.Objective > 0 {
 		d.gather.PartialAfter = c.Arrived.Add(max(route.Objective-partialMargin, 0))
 	}
--- a/io/wqrelay/relay_test.go
+++ b/io/wqrelay/relay_test.go
@@ -226,3 +226,59 @@
 		must.Eq(t, want, r.Serve(t.Context(), newCall("/one/x")).Status, must.Sprint(code))
 	}
 }
+
+// waitingSender never sends: each call waits for a connection until its context ends.
+type waitingSender struct{ calls *atomic.Int64 }
+
+func (s waitingSender) Send(ctx context.Context, _ *wqdirectory.Target, _ *wqcall.Call, _ time.Duration) wqsend.Result {
+	s.calls.Add(1)
+	<-ctx.Done()
+	return wqsend.Result{Outcome: wqsend.Withheld}
+}
+
+// Guards against a stop that cuts requests: each gets a reply when requests have to end,
+// and one that was never sent is refused as not run.
+func TestEndedRequestsGetAReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hanging, _ := newRelay(newFakeSender(true), nil)
+		waiting := withSender(hanging, waitingSender{new(atomic.Int64)})
+		start := time.Now()
+		time.AfterFunc(100*time.Millisecond, hanging.EndRequests)
+		must.Eq(t, wqcall.Unavailable, hanging.Serve(t.Context(), newCall("/one/x")).Status)
+		time.AfterFunc(100*time.Millisecond, waiting.EndRequests)
+		refused := waiting.Serve(t.Context(), newCall("/one/x"))
+		must.Eq(t, wqcall.NotRun, refused.Status)
+		must.Positive(t, refused.RetryAfter)
+		must.Eq(t, 200*time.Millisecond, time.Since(start))
+	})
+}
+
+func TestNothingIsSentAfterEndSends(t *testing.T) {
+	s := newFakeSender(false)
+	r, _ := newRelay(s, nil)
+	r.EndSends()
+	for _, path := range []string{"/one/x", "/all/x"} {
+		reply := r.Serve(t.Context(), newCall(path))
+		must.Eq(t, wqcall.NotRun, reply.Status)
+		must.Positive(t, reply.RetryAfter)
+	}
+	must.Eq(t, 0, s.sends.Load())
+}
+
+// Guards against requests that wait for a connection until the deadline and are reported
+// as if they may have run.
+func TestRequestThatWaitedUntilTheDeadlineHasNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newRelay(newFakeSender(false), nil)
+		calls := new(atomic.Int64)
+		must.Eq(t, wqcall.NotRun, withSender(r, waitingSender{calls}).Serve(t.Context(), newCall("/one/x")).Status)
+		must.Positive(t, calls.Load())
+	})
+}
+
+// withSender returns a relay with the settings of r and another sender.
+func withSender[S wqrelay.Sender](r *wqrelay.Relay[fakeSender, wqplacement.NearestShards], s S) *wqrelay.Relay[S, wqplacement.NearestShards] {
+	return &wqrelay.Relay[S, wqplacement.NearestShards]{
+		Plan: r.Plan, Sender: s, Tracker: r.Tracker, Zone: r.Zone, HubClient: r.HubClient, Placement: r.Placement, RetryQuota: r.RetryQuota, Log: r.Log,
+	}
+}
--- a/io/wqrelay/reply.go
+++ b/io/wqrelay/reply.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strings"
+	"time"
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqgather"
@@ -32,6 +33,9 @@
 		}
 		return searcherReply(&d.gather.Results[0], wqcall.Answered)
 	case wqgather.Refused:
+		if !d.gather.LastSendAt.IsZero() && time.Now().Before(d.gather.Deadline) {
+			return wqcall.Reply{Status: wqcall.NotRun, Reason: d.describeMissing(errStopping.Error()), RetryAfter: wqretryafter.Stopping}
+		}
 		return wqcall.Reply{Status: wqcall.NotRun, Reason: d.describeMissing("no searcher accepted the request"), RetryAfter: wqretryafter.NoCapacity}
 	case wqgather.Expired:
 		return wqcall.Reply{Status: wqcall.TimedOut, Reason: d.describeMissing("the deadline passed")}
--- a/io/wqstop/stopper.go
+++ b/io/wqstop/stopper.go
@@ -50,6 +50,9 @@
 		}
 		for started < p {
 			started++
+			if started == wqdrain.Ending && p > wqdrain.Ending && s.Drain.Aborted().Empty() {
+				continue // All work ended before.
+			}
 			go s.runPhase(ctx, started, closingDone)
 		}
 		if closed := s.awaitNextCheck(closingDone); closed {
