--- a/test/tier/searcher_test.go
+++ b/test/tier/searcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -118,3 +119,34 @@
 	}
 	checkGuarantees(t, f)
 }
+
+// Guards against a VM that runs out of memory, and ends the requests of all its callers,
+// because searchers send bytes without end.
+func TestEndlessAnswersDoNotEndTheVM(t *testing.T) {
+	const callers, deadline, load = 100, time.Second, 4 * time.Second
+	for name, b := range map[string]wqfakeplatform.Behaviour{"heads": {EndlessHead: true}, "bodies": {EndlessBody: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 1)
+			vm := f.VMs[0]
+			for _, s := range append(initialShards[:shardCount:shardCount], "orders") {
+				setBehaviour(f, s, b)
+			}
+			end := time.Now().Add(load)
+			var g sync.WaitGroup
+			for i := range callers {
+				g.Go(func() {
+					for time.Now().Before(end) {
+						must.NotEq(t, http.StatusOK, f.Send(vm, http.MethodGet, []string{"/one/x", "/all/x"}[i%2], "", deadline).Code)
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(load / 2)
+			must.Eq(t, http.StatusOK, f.Send(vm, http.MethodPost, "/write/x", "order", 5*deadline).Code, must.Sprint("a request to a sound searcher"))
+			g.Wait()
+			must.True(t, vm.Running())
+			must.Less(t, wqfakeplatform.MemoryLimit, vm.PeakMemory())
+			t.Logf("peak %d bytes", vm.PeakMemory())
+		})
+	}
+}
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -28,6 +28,7 @@
 	MaxApplyTime         = 3 * time.Second // MaxApplyTime runs from a configuration being written to its being in force on all VMs.
 	MaxEvacuationTime    = 5 * time.Second // MaxEvacuationTime runs from a zone being taken out to its last new request.
 	shutdownGraceSeconds = 6
+	MemoryLimit          = 284 << 20 // MemoryLimit is the memory of a VM, in bytes.
 )
 
 // Options set the size of a fleet.
@@ -159,7 +160,7 @@
 	}
 	vm.settingsPath = filepath.Join(f.t.TempDir(), "boot.toml")
 	seeds := `"` + strings.Join(controlAddresses[:min(3, len(controlAddresses))], `","`) + `"`
-	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.CallerAddress, vm.ReadinessAddress, controlAddresses[i], shutdownGraceSeconds, proxy.Address())
+	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.CallerAddress, vm.ReadinessAddress, controlAddresses[i], shutdownGraceSeconds, MemoryLimit>>20, proxy.Address())
 	must.NoError(f.t, os.WriteFile(vm.settingsPath, []byte(settings), 0o600))
 	f.VMs = append(f.VMs, vm)
 	vm.Start()
@@ -190,6 +191,8 @@
 budgetSlack = 50
 warmupOvershoot = 1.5
 warmupSlack = 5
+[limits]
+memoryMb = %d
 [platform]
 address = %q
 `
@@ -238,6 +241,18 @@
 	}
 }
 
+// PeakMemory returns the most memory, in bytes, that the running process has had
+// resident.
+func (vm *VM) PeakMemory() int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", vm.cmd.Process.Pid))
+	must.NoError(vm.fleet.t, err)
+	_, text, _ := strings.Cut(string(status), "VmHWM:")
+	var kilobytes int64
+	_, err = fmt.Sscan(text, &kilobytes)
+	must.NoError(vm.fleet.t, err)
+	return kilobytes << 10
+}
+
 // Log returns the standard output and standard error of all runs of this VM.
 func (vm *VM) Log() string {
 	text, err := os.ReadFile(vm.settingsPath + ".log")
--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -28,6 +28,8 @@
 	Truncate       bool // Truncate closes the connection before the last 3 bytes of every answer.
 	Hang           bool // Hang delays every answer by a minute, longer than any deadline.
 	Fail           bool // Fail answers every request with status 500.
+	EndlessHead    bool // EndlessHead answers with header lines without end.
+	EndlessBody    bool // EndlessBody answers with a body without end.
 }
 
 // Execution is one request that a searcher started to execute.
@@ -152,7 +154,7 @@
 	if b.Fail {
 		code, body = http.StatusInternalServerError, nil
 	}
-	if !b.NoReply && !b.Duplicate && !b.Truncate {
+	if !b.NoReply && !b.Duplicate && !b.Truncate && !b.EndlessHead && !b.EndlessBody {
 		w.Header().Set("Request-Id", id)
 		w.Header().Set("Server-Stamp", Stamp(s.ID, id))
 		w.WriteHeader(code)
@@ -167,11 +169,15 @@
 	s.respondFaulty(c, b, id, body)
 }
 
-// respondFaulty omits, truncates or duplicates the answer on the hijacked
+// respondFaulty omits, truncates, duplicates or never ends the answer on the hijacked
 // connection, depending on b.
 func (s *Searcher) respondFaulty(c net.Conn, b Behaviour, id string, body []byte) {
 	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, Stamp(s.ID, id), len(body), body)
 	switch {
+	case b.EndlessHead:
+		writeEndless(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", id), "X: "+strings.Repeat("a", 1000)+"\r\n")
+	case b.EndlessBody:
+		writeEndless(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n\r\n", id), strings.Repeat("a", 32<<10))
 	case b.NoReply:
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.SetLinger(0)
@@ -186,6 +192,15 @@
 	}
 }
 
+// writeEndless writes head and then filler again and again until the other side closes
+// the connection.
+func writeEndless(c net.Conn, head, filler string) {
+	_, err := io.WriteString(c, head)
+	for err == nil {
+		_, err = io.WriteString(c, filler)
+	}
+}
+
 // Stamp returns the value of the Server-Stamp header: the searcher that answered
 // and the request that it answered.
 func Stamp(searcher, requestID string) string { return searcher + "." + requestID }
