--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -102,12 +102,14 @@
 		OnPhase: func(ctx context.Context, p wqdrain.Phase) {
 			switch p {
 			case wqdrain.Draining:
+				h.Log.Info("no more sends; requests that wait are refused", "active", h.callerServer.InFlight())
 				h.relay.EndSends()
 				h.searcherClient.WithdrawWaiting()
 				if err := h.callerServer.Stop(ctx); err != nil {
 					h.Log.Warn("connections of callers were closed before their requests finished", "error", err)
 				}
 			case wqdrain.Ending:
+				h.Log.Info("replying to the requests that are left", "active", h.callerServer.InFlight())
 				h.relay.EndRequests()
 			}
 		},
