--- a/io/wqtarget/connection.go
+++ b/io/wqtarget/connection.go
@@ -72,7 +72,7 @@
 // previous check.
 func (c *connection) Write(b []byte) (int, error) {
 	state := c.state.Load()
-	if state&phaseMask == phaseUnwritten && !(c.pool.maySend() && (*c.mayBeSent.Load())()) {
+	if state&phaseMask == phaseUnwritten && (!c.pool.maySend() || !(*c.mayBeSent.Load())()) {
 		c.sendForbidden.Store(true)
 		c.preventWrite(state &^ phaseMask)
 		return 0, net.ErrClosed
