Do not count a reply that exceeds the shared buffer against the others

Cause: a body that did not fit was added to the total before the comparison and stayed in it until its request ended, and every reply compared the total, also one that takes nothing.

--- a/io/wqtarget/exchange.go
+++ b/io/wqtarget/exchange.go
@@ -202,10 +202,10 @@
 	defer func() { x.client.bufferedBytes.Add(-budgeted) }()
 	for limit := max(min(unbudgetedReplyBytes, maxBytes), response.ContentLength); ; limit = min(2*limit, maxBytes) {
 		growth := max(0, limit-unbudgetedReplyBytes-budgeted)
-		budgeted += growth
-		if x.client.bufferedBytes.Add(growth) > x.client.MaxBufferedBytes {
+		if !x.client.reserveBuffer(growth) {
 			return nil, x.protocolFailure(fmt.Sprintf("the replies that are being read exceed %d bytes in total", x.client.MaxBufferedBytes))
 		}
+		budgeted += growth
 		if response.ContentLength > 0 {
 			buffer.Grow(int(response.ContentLength) + bytes.MinRead)
 		}
@@ -221,6 +221,21 @@
 	}
 }
 
+// reserveBuffer takes n bytes of MaxBufferedBytes and reports whether so many are left.
+// A reservation that fails takes none, not even for a moment: others would fail with it.
+func (c *Client) reserveBuffer(n int64) bool {
+	for n > 0 {
+		used := c.bufferedBytes.Load()
+		if used+n > c.MaxBufferedBytes {
+			return false
+		}
+		if c.bufferedBytes.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
+	return true
+}
+
 // transportFailure closes the connection and returns the Failure of a transport
 // error, by whether a byte of the request may have been sent.
 func (x *exchange) transportFailure(ctx context.Context, cause error) error {
--- a/io/wqtarget/forward_test.go
+++ b/io/wqtarget/forward_test.go
@@ -435,3 +435,39 @@
 	must.Eq(t, requestCount, requests.Load())
 	must.Eq(t, 2, count, must.Sprint("a connection remembers 256 ids"))
 }
+
+// Guards against sound answers that fail because other searchers send bodies without end:
+// they use up the memory for replies again and again.
+func TestShortRepliesNeedNoneOfTheSharedMemory(t *testing.T) {
+	const endless, sound = 50, 3000
+	faulty, _ := startRawSearcher(t, func(c net.Conn, _ int64, _ *http.Request) {
+		writeEndless(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", strings.Repeat("a", 32<<10))
+	})
+	faulty.ID, faulty.Connections = "faulty", endless
+	healthy, _ := startRawSearcher(t, func(c net.Conn, _ int64, r *http.Request) { writeResponse(c, r.Header.Get("Request-Id"), "x") })
+	c := newTestClient(t)
+	c.MaxBufferedBytes = 1 << 20
+	done := make(chan struct{})
+	var g sync.WaitGroup
+	for range endless {
+		g.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					_, _ = c.Forward(t.Context(), faulty, forwardRequest("1")) // Fails in any case.
+				}
+			}
+		})
+	}
+	failed := make(map[string]int)
+	for range sound {
+		if _, err := c.Forward(t.Context(), healthy, forwardRequest("2")); err != nil {
+			failed[err.Error()]++
+		}
+	}
+	close(done)
+	g.Wait()
+	must.MapEmpty(t, failed)
+}
