Count a request that was received before the start of the quota

Cause: a hub counts a request at its arrival at the entry VM. For one that arrived before the hub's process started, the step of the ring was negative, CountRequest panicked, and so did every later call for that service.

Change: the step is never below 0.

TestRequestReceivedBeforeTheStartIsCounted panicked before with 'index out of range [-2]' and passes now.

--- a/core/wqretryquota/quota.go
+++ b/core/wqretryquota/quota.go
@@ -81,7 +81,9 @@
 // ledger returns the counts of a service, with the steps that have passed set
 // to 0.
 func (q *Quota) ledger(now time.Time, service string) *ledger {
-	step := int64(now.Sub(q.startedAt) / (q.Limits.Window / stepsPerWindow))
+	// A request that another VM received before the start of this one counts as
+	// received at the start: a negative step has no place in the ring.
+	step := max(0, int64(now.Sub(q.startedAt)/(q.Limits.Window/stepsPerWindow)))
 	l := q.services[service]
 	if l == nil {
 		l = &ledger{newestStep: step}
--- a/core/wqretryquota/quota_test.go
+++ b/core/wqretryquota/quota_test.go
@@ -73,3 +73,18 @@
 	must.False(t, q.TrySpend(start, "s", 7))
 	must.True(t, q.TrySpend(start.Add(10*time.Second), "s", 7))
 }
+
+// Guards against a quota that panics in every later call for a service, because the
+// first request counted there arrived at another VM before this VM started.
+func TestRequestReceivedBeforeTheStartIsCounted(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, age := range []time.Duration{time.Millisecond, 2 * time.Second, 90 * time.Second, time.Duration(1<<63 - 1)} {
+		q := wqretryquota.New(limits, start)
+		q.CountRequest(start.Add(-age), "s")
+		for range 100 {
+			q.CountRequest(start.Add(time.Second), "s")
+		}
+		must.True(t, q.TrySpend(start.Add(time.Second), "s", 7))
+		must.False(t, q.TrySpend(start.Add(time.Hour), "s", 1<<30), must.Sprint("the requests have left the window"))
+	}
+}
