--- a/core/wqcall/call.go
+++ b/core/wqcall/call.go
@@ -16,13 +16,21 @@
 
 // Call is one attempt of a caller's request.
 type Call struct {
-	ID      string // set by the caller, new for each attempt
-	Method  string
-	Host    string // host name that the caller requested, without a port
-	Path    string // as it was sent, still escaped; routes are matched against it
-	Query   string // text after the question mark, as it was sent
-	Header  map[string][]string
-	Body    []byte
-	Arrived time.Time     // when the first VM received its header
-	Timeout time.Duration // how long the caller waits, from Arrived; 0 means as long as the route allows
+	ID     string // set by the caller, new for each attempt
+	Method string
+	Host   string // host name that the caller requested, without a port
+	Path   string // as it was sent, still escaped; routes are matched against it
+	Query  string // text after the question mark, as it was sent
+	Header map[string][]string
+	Body   []byte
+	// Authorization holds the values of the header field, which are not in Header.
+	// A sender passes them on unless Identified is true.
+	Authorization []string
+	// Identified is true once the caller's client account was determined. A sender then
+	// sets the account to Tenant, whatever the caller sent, and to none if it is empty.
+	Identified bool
+	Tenant     string        // client account of the caller; empty for an anonymous caller
+	Priority   int           // rank of the call, 0 is the highest: that of the client account, else of the route
+	Arrived    time.Time     // when the first VM received its header
+	Timeout    time.Duration // how long the caller waits, from Arrived; 0 means as long as the route allows
 }
--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -35,6 +35,7 @@
 	Address            string // Address is host:port.
 	Zone               string
 	Slots              int
+	Version            string        // Version is the version of its software.
 	Draining           bool          // Draining is true once it accepts no new requests.
 	ColdStartRemaining time.Duration // ColdStartRemaining is the time left of its cold start.
 	Incarnation        int64         // Incarnation is its start time in Unix milliseconds; 0 is unknown.
--- a/core/wqdirectory/pool.go
+++ b/core/wqdirectory/pool.go
@@ -15,6 +15,7 @@
 	Incarnation   int64     // Incarnation is the start time in Unix milliseconds; 0 is unknown.
 	ColdStartEnd  time.Time // ColdStartEnd is zero for a searcher without a cold start.
 	ColdStartRate float64   // ColdStartRate limits the requests per second during a cold start, over all VMs; 0 is no limit.
+	Version       string    // Version is the version of the searcher's software.
 	LastResort    bool      // LastResort targets are draining or deregistered; use them when there is no other.
 }
 
@@ -77,6 +78,7 @@
 			ID: e.ID, Address: e.Address, Zone: e.Zone, Service: e.Service, Shard: e.Service, Slots: e.Slots,
 		},
 		Incarnation:  e.Incarnation,
+		Version:      e.Version,
 		ColdStartEnd: e.coldStartEnd,
 		LastResort:   !e.leavingSince.IsZero(),
 	}
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -8,7 +8,6 @@
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqlatency"
-	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 )
 
@@ -17,7 +16,7 @@
 	relay      *Relay[S, P]
 	call       *wqcall.Call
 	latency    *wqlatency.Estimator
-	gather     *wqgather.Gather[wqselector.LeastLatency, hedgePolicy]
+	gather     *wqgather.Gather[searcherPicker, hedgePolicy]
 	results    chan sendResult
 	replied    chan struct{} // closed when the request has its reply
 	cancels    map[int]context.CancelFunc
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -181,9 +181,9 @@
 	d := &driver[S, P]{
 		relay: r, call: c, latency: latency, cancels: make(map[int]context.CancelFunc),
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
-		gather: &wqgather.Gather[wqselector.LeastLatency, hedgePolicy]{
+		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
-			Picker:      wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: sharerCount},
+			Picker:      r.newPicker(sharerCount),
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
