State that searchers report about themselves, and requests that no searcher can take in time

core/wqstatement holds, for each start of a searcher, what its responses report: that it is leaving (a last resort for 2 s, then unused), or that it wants no requests for some time. core/wqexclusion wraps a picker and leaves these searchers out. wqgather refuses a request at once as not run when no searcher of a service may be asked before the deadline or within 10 s; others check every 50 ms, so that requests that wait take little processor time. wqretryafter.Spread adds a random part to a computed delay.

Without reports the picker gets the same targets as before, and WaitTime nil is the behaviour before. Tests of the four packages pass with the race detector.

--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -69,11 +69,14 @@
 
 // Gather is the progress of one request. Set the exported fields before Start.
 type Gather[P Picker, H HedgePolicy] struct {
-	Route        *wqroute.Route
-	Services     []string
-	Picker       P
-	HedgePolicy  H
-	Random       func() uint64
+	Route       *wqroute.Route
+	Services    []string
+	Picker      P
+	HedgePolicy H
+	Random      func() uint64
+	// WaitTime returns the time until the first of some targets may be sent requests, 0
+	// if one may be now; nil if that is always so.
+	WaitTime     func(now time.Time, targets []*wqdirectory.Target) time.Duration
 	PartialAfter time.Time // PartialAfter is the time to return a partial answer to meet the objective; zero is never.
 	Deadline     time.Time
 	LastSendAt   time.Time       // LastSendAt is the time from which nothing is sent any more, because the VM stops; zero is never.
@@ -110,13 +113,13 @@
 )
 
 // Start returns the first send to each service, or none when too few services
-// have a searcher.
+// have a searcher that can be sent the request in time.
 func (g *Gather[P, H]) Start(now time.Time, pools wqdirectory.Pools) []Send {
 	g.progress = make([]serviceProgress, len(g.Services))
 	g.Results = make([]wqsend.Result, len(g.Services))
 	available := 0
 	for i, s := range g.Services {
-		g.progress[i].closed = len(pools[s]) == 0
+		g.progress[i].closed = g.unavailable(now, pools[s])
 		if !g.progress[i].closed {
 			available++
 		}
@@ -196,11 +199,7 @@
 	}
 	t := g.pickTarget(now, pools[g.Services[i]], s)
 	if t == nil || s.maybeDelivered > 0 && !g.HedgePolicy.TrySpend(now, g.Services[i]) {
-		// A fan-out waits for its other services in any case; until then the
-		// budget may refill.
-		noBudget := t != nil && !g.Route.FanOut()
-		s.closed = len(s.inFlight) == 0 && (noBudget || len(pools[g.Services[i]]) == 0)
-		s.retryAt = wqtime.Later(s.retryAt, now.Add(pollInterval))
+		g.postpone(now, s, pools[g.Services[i]], t != nil)
 		return sends
 	}
 	return append(sends, g.send(now, i, t))
