Observe what each response reports about its searcher, and bind all sends to it

Server-Leaving and Retry-After of a 503 are decoded in platform/wqegress when the header of a response has arrived, so also for a body that is cut, a send that is cancelled meanwhile, and a response that nothing waits for. Every form of Retry-After has a meaning, at most 60 s. Responses of another request or another searcher report nothing. The relay's picker leaves the searchers out, Host.maySend checks again right before the first byte, and requests that wait for a connection are withdrawn when a searcher begins to reject, and at the end of the grace of one that leaves. A refusal states when the first searcher may be asked again.

Each VM uses the reports that it got itself.

New: log line "searcher reports its state", counter searcher_statements_total, gauges host_searchers_leaving and host_searchers_rejecting.

--- a/cmd/wqhost/gauges.go
+++ b/cmd/wqhost/gauges.go
@@ -18,6 +18,7 @@
 	h.metrics.AddGauge("host_store_revision_from_store", "1 when the store itself confirmed it last, 0 when a peer did.", func() float64 { return boolGauge(plan().ConfirmedBy == storeName) })
 	h.metrics.AddGauge("host_fleet", "VMs that share retry quotas and connection limits, this one included.", func() float64 { return float64(plan().FleetSize) })
 	h.metrics.AddGauge("host_hub", "1 while this VM runs fan-outs for other VMs.", func() float64 { return boolGauge(plan().IsHub) })
+	h.addStatementGauges()
 	h.metrics.AddGauge("host_configuration_version", "Version of the configuration in force; 0 for none.", func() float64 {
 		if t := plan().Table; t != nil {
 			return float64(t.Version)
--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -24,6 +24,7 @@
 	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqretryquota"
 	"wisteriaquay/core/wqselector"
+	"wisteriaquay/core/wqstatement"
 	"wisteriaquay/io/wqcontroller"
 	"wisteriaquay/io/wqhttp"
 	"wisteriaquay/io/wqlistwatch"
@@ -73,6 +74,7 @@
 	metrics          *wqmetric.Metrics
 	callerServer     *wqhttp.Server
 	searcherClient   *wqtarget.Client
+	statements       *wqstatement.Tracker
 	connectionLimits map[string]connectionLimit // By service; owned by the control goroutine.
 	storeUnreachable atomic.Bool                // True while the store does not answer this VM.
 	peerFanOuts      atomic.Int64               // Number of fan-outs in progress for other VMs.
@@ -101,7 +103,7 @@
 	client, closeClient := wqtarget.New()
 	defer closeClient()
 	client.MaxBufferedBytes = max(client.MaxBufferedBytes, int64(responseBufferShare*float64(h.Settings.MemoryLimit)))
-	h.searcherClient = client
+	h.searcherClient, h.statements = client, wqstatement.New()
 	h.controller.BeforePublish = h.setConnectionLimits
 	h.controller.AfterPublish = client.WithdrawWaiting
 	h.relay = h.newRelay(peers)
@@ -160,7 +162,7 @@
 
 func (h *Host) newRelay(hubs wqrelay.HubClient) *wqrelay.Relay[*wqegress.Sender, wqplacement.NearestShards] {
 	return &wqrelay.Relay[*wqegress.Sender, wqplacement.NearestShards]{
-		Plan: h.controller.Plan, Sender: &wqegress.Sender{Client: h.searcherClient, MaySend: h.maySend}, Tracker: wqselector.New(), Zone: h.Settings.Zone,
+		Plan: h.controller.Plan, Sender: &wqegress.Sender{Client: h.searcherClient, MaySend: h.maySend, OnStatement: h.observeStatement}, Statements: h.statements, Tracker: wqselector.New(), Zone: h.Settings.Zone,
 		RetryQuota: wqretryquota.New(h.Settings.RetryLimits, time.Now()), HubClient: hubs,
 		Placement:       wqplacement.NearestShards{Zone: h.Settings.Zone, MinSavedShare: wqplacement.DefaultMinSavedShare},
 		OnWrongSearcher: h.controller.WrongSearcher, Metrics: h.metrics, Log: h.Log,
@@ -168,10 +170,11 @@
 	}
 }
 
-// maySend reports whether a request may still be sent to a target: the plan in force
-// allows it, and a stop of this VM has not ended all sends.
+// maySend reports whether a request may still be sent to a target: the plan in force and
+// the searcher's own reports allow it, and a stop of this VM has not ended all sends.
 func (h *Host) maySend(t *wqdirectory.Target) bool {
-	return !h.relay.SendsEnded() && h.controller.Plan().MaySend(time.Now(), t)
+	now := time.Now()
+	return !h.relay.SendsEnded() && h.controller.Plan().MaySend(now, t) && h.statements.MaySend(now, t)
 }
 
 // callerHandler returns the HTTP handler of callers' requests.
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -31,6 +31,7 @@
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
+	"wisteriaquay/core/wqstatement"
 	"wisteriaquay/io/wqmetric"
 )
 
@@ -61,7 +62,8 @@
 	Plan            func() *wqplan.Plan
 	Sender          S
 	Tracker         *wqselector.Tracker
-	Zone            string // Zone is the availability zone of this VM.
+	Statements      *wqstatement.Tracker // Statements holds what searchers report about themselves; nil ignores it.
+	Zone            string               // Zone is the availability zone of this VM.
 	RetryQuota      *wqretryquota.Quota
 	OnWrongSearcher func(t *wqdirectory.Target) // OnWrongSearcher is called when another searcher answers at a target's address.
 	StartupWait     StartupWait
@@ -184,6 +186,7 @@
 		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
 			Picker:      r.newPicker(sharerCount),
+			WaitTime:    r.Statements.Wait,
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
--- a/io/wqrelay/reply.go
+++ b/io/wqrelay/reply.go
@@ -36,7 +36,7 @@
 		if !d.gather.LastSendAt.IsZero() && time.Now().Before(d.gather.Deadline) {
 			return wqcall.Reply{Status: wqcall.NotRun, Reason: d.describeMissing(errStopping.Error()), RetryAfter: wqretryafter.Stopping}
 		}
-		return wqcall.Reply{Status: wqcall.NotRun, Reason: d.describeMissing("no searcher accepted the request"), RetryAfter: wqretryafter.NoCapacity}
+		return d.refusedReply()
 	case wqgather.Expired:
 		return wqcall.Reply{Status: wqcall.TimedOut, Reason: d.describeMissing("the deadline passed")}
 	}
