--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -22,14 +22,16 @@
 // request at once with status 200.
 type Behaviour struct {
 	ProcessingTime time.Duration
-	Shed           bool // Shed refuses every request with status 503, marked as not executed.
-	NoReply        bool // NoReply executes every request and resets the connection instead of answering.
-	Duplicate      bool // Duplicate sends every answer twice on the same connection, 20 ms apart.
-	Truncate       bool // Truncate closes the connection before the last 3 bytes of every answer.
-	Hang           bool // Hang delays every answer by a minute, longer than any deadline.
-	Fail           bool // Fail answers every request with status 500.
-	EndlessHead    bool // EndlessHead answers with header lines without end.
-	EndlessBody    bool // EndlessBody answers with a body without end.
+	Shed           bool   // Shed refuses every request with status 503, marked as not executed.
+	NoReply        bool   // NoReply executes every request and resets the connection instead of answering.
+	Duplicate      bool   // Duplicate sends every answer twice on the same connection, 20 ms apart.
+	Truncate       bool   // Truncate closes the connection before the last 3 bytes of every answer.
+	Hang           bool   // Hang delays every answer by a minute, longer than any deadline.
+	Fail           bool   // Fail answers every request with status 500.
+	EndlessHead    bool   // EndlessHead answers with header lines without end.
+	EndlessBody    bool   // EndlessBody answers with a body without end.
+	Leaving        bool   // Leaving reports in every response that the searcher is leaving.
+	RetryAfter     string // RetryAfter is the value of Retry-After in refusals by Shed; empty for none.
 }
 
 // Execution is one request that a searcher started to execute.
@@ -53,6 +55,7 @@
 	mutex      sync.Mutex
 	behaviour  Behaviour
 	executions []Execution
+	arrivals   []Arrival
 	cancelled  int
 	server     *httptest.Server
 
@@ -117,7 +120,9 @@
 	}
 	s.mutex.Lock()
 	b := s.behaviour
+	s.arrivals = append(s.arrivals, Arrival{RequestID: r.Header.Get("Request-Id"), At: time.Now(), Behaviour: b})
 	s.mutex.Unlock()
+	b.setHeader(w.Header())
 	switch {
 	case r.Header.Get("Expect-Instance") != s.ID:
 		w.Header().Set("Instance-Id", s.ID)
@@ -172,7 +177,7 @@
 // respondFaulty omits, truncates, duplicates or never ends the answer on the hijacked
 // connection, depending on b.
 func (s *Searcher) respondFaulty(c net.Conn, b Behaviour, id string, body []byte) {
-	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", id, Stamp(s.ID, id), len(body), body)
+	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, Stamp(s.ID, id), b.rawHeader(), len(body), body)
 	switch {
 	case b.EndlessHead:
 		writeEndless(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n", id), "X: "+strings.Repeat("a", 1000)+"\r\n")
--- /dev/null
+++ b/test/wqfakeplatform/statement.go
@@ -0,0 +1,46 @@
+package wqfakeplatform
+
+import (
+	"net/http"
+	"time"
+)
+
+// Arrival is one request that reached a searcher, whether it executed it or not.
+type Arrival struct {
+	RequestID string
+	At        time.Time
+	Behaviour Behaviour // Behaviour is how the searcher handles it.
+}
+
+// Arrivals returns a copy of all arrivals so far, oldest first.
+func (s *Searcher) Arrivals() []Arrival {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
+// Restart closes the searcher's connections and lets it start again under its ID and
+// address, without faults. Register it afterwards.
+func (s *Searcher) Restart() {
+	s.server.CloseClientConnections()
+	s.SetBehaviour(Behaviour{})
+	s.StartMillis = max(s.StartMillis+1, time.Now().UnixMilli())
+}
+
+// setHeader sets the fields in which a searcher reports about itself.
+func (b Behaviour) setHeader(h http.Header) {
+	if b.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+	if b.Shed && b.RetryAfter != "" {
+		h.Set("Retry-After", b.RetryAfter)
+	}
+}
+
+// rawHeader is setHeader for responses that are written without a server.
+func (b Behaviour) rawHeader() string {
+	if b.Leaving {
+		return "Server-Leaving: 1\r\n"
+	}
+	return ""
+}
--- a/test/wqfakesearcher/settings.go
+++ b/test/wqfakesearcher/settings.go
@@ -35,6 +35,8 @@
 	Draining        bool    `json:"draining"`         // Draining makes the searcher refuse all requests.
 	MisreportHealth bool    `json:"lying"`            // MisreportHealth makes the health endpoint always report ready, idle, warm and not draining.
 	Fault           Fault   `json:"fault"`
+	ReportLeaving   bool    `json:"report_leaving"` // ReportLeaving makes every reply say that the searcher is leaving (Server-Leaving).
+	RetryAfter      string  `json:"retry_after"`    // RetryAfter is the value of Retry-After in replies with status 503; empty for none.
 }
 
 // Execution is one execution of a write-like request.
--- a/test/wqfakesearcher/traffic.go
+++ b/test/wqfakesearcher/traffic.go
@@ -19,9 +19,9 @@
 // endpoints.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/search", s.handleSearch)
-	mux.HandleFunc("POST /v1/write", s.handleWrite)
-	mux.HandleFunc("GET /v1/health", s.handleHealth)
+	mux.HandleFunc("POST /v1/search", s.reportLeaving(s.handleSearch))
+	mux.HandleFunc("POST /v1/write", s.reportLeaving(s.handleWrite))
+	mux.HandleFunc("GET /v1/health", s.reportLeaving(s.handleHealth))
 	s.addControlEndpoints(mux)
 	return mux
 }
@@ -119,6 +119,7 @@
 	sl := s.acquireSlot(len(request.Queries))
 	if sl.refusal != "" {
 		s.releaseSlot(sl, 0, false)
+		setRetryAfter(w, sl.settings)
 		s.writeSearchReply(w, sl, http.StatusServiceUnavailable, wqtarget.SearchReply{Refusal: sl.refusal})
 		return
 	}
@@ -182,6 +183,7 @@
 	reply := wqtarget.WriteReply{Incarnation: sl.incarnation, Cold: sl.cold, RequestID: request.RequestID, Refusal: sl.refusal}
 	if sl.refusal != "" {
 		s.releaseSlot(sl, 0, false)
+		setRetryAfter(w, sl.settings)
 		writeReply(w, sl.settings.Fault, http.StatusServiceUnavailable, reply)
 		return
 	}
