Client accounts: callers are identified by their keys

A configuration may list client accounts with keys. Requests without a valid key get 401, unless they carry none and their route admits anonymous callers. Hubs get the name and the digest. A request that waits is checked again before its first byte, so that a withdrawn key ends it with 401 (6 of 8 waiting requests in the test of processes; the 2 in flight finish). An empty list counts as a configuration without client accounts, which is served as before.

--- a/core/wqcall/call.go
+++ b/core/wqcall/call.go
@@ -30,6 +30,7 @@
 	// sets the account to Tenant, whatever the caller sent, and to none if it is empty.
 	Identified bool
 	Tenant     string        // client account of the caller; empty for an anonymous caller
+	Key        KeyUse        // how the caller was identified; zero for an anonymous caller
 	Priority   int           // rank of the call, 0 is the highest: that of the client account, else of the route
 	Arrived    time.Time     // when the first VM received its header
 	Timeout    time.Duration // how long the caller waits, from Arrived; 0 means as long as the route allows
--- a/core/wqcall/reply.go
+++ b/core/wqcall/reply.go
@@ -16,11 +16,13 @@
 	Unavailable                // Unavailable means that the searchers failed; the call may have run.
 	TimedOut                   // TimedOut means that the deadline passed; the call may have run.
 	CallerGone                 // CallerGone means that the caller disconnected before the end; the call may have run.
+	Unauthorized               // Unauthorized means that the call carries no key, or one that the configuration in force does not know; nothing ran.
+	OverQuota                  // OverQuota means that the quota of the client account is used up; nothing ran.
 )
 
 // String returns the name of the status in logs and metrics.
 func (s Status) String() string {
-	return [...]string{"answered", "not_run", "no_route", "too_large", "too_slow", "malformed", "unavailable", "timed_out", "caller_gone"}[s]
+	return [...]string{"answered", "not_run", "no_route", "too_large", "too_slow", "malformed", "unavailable", "timed_out", "caller_gone", "unauthorized", "over_quota"}[s]
 }
 
 // Reply is the result of a call.
--- a/core/wqroute/check.go
+++ b/core/wqroute/check.go
@@ -33,7 +33,7 @@
 	if l.MaxHeaderBytes < 0 || l.MaxBodyBytes < 0 || !durationInRange(l.HeaderTimeout) || !durationInRange(l.IdleTimeout) {
 		return "a limit is out of range"
 	}
-	return ""
+	return t.Tenants.Problem()
 }
 
 // Problem returns why a route can't be served, empty if it can.
--- a/core/wqroute/table.go
+++ b/core/wqroute/table.go
@@ -21,6 +21,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"wisteriaquay/core/wqtenant"
 )
 
 // Table is one version of the routing configuration.
@@ -28,6 +30,7 @@
 	Version  uint64
 	Services map[string]Service // Services that routes refer to, by name.
 	Limits   Limits
+	Tenants  *wqtenant.Registry // Tenants are the client accounts; nil for a configuration without, where any caller is served.
 
 	byHost        map[string][]*Route // routes of each host, longest prefix first.
 	shardServices map[string]bool
@@ -64,6 +67,8 @@
 	Timeout    time.Duration // Timeout is the longest time for an answer.
 	Objective  time.Duration // Objective is the latency target of an answer.
 	Priority   int           // Priority is the rank of the route; 0 is the highest priority.
+
+	AllowAnonymous bool // AllowAnonymous admits callers without a key although the configuration has client accounts.
 }
 
 // Part is one weighted service of a route.
--- a/io/wqcontroller/controller.go
+++ b/io/wqcontroller/controller.go
@@ -284,7 +284,7 @@
 	}
 	c.table = t
 	c.directory.SetColdStartRates(func(service string) float64 { return t.Services[service].ColdStartRate })
-	c.Log.Info("configuration in force", "version", t.Version, "before", currentVersion, "routes", t.RouteCount(), "revision", i.Revision, "age_ms", i.Age.Milliseconds(), "from", c.confirmedBy)
+	c.Log.Info("configuration in force", "version", t.Version, "before", currentVersion, "routes", t.RouteCount(), "tenants", t.Tenants.Len(), "revision", i.Revision, "age_ms", i.Age.Milliseconds(), "from", c.confirmedBy)
 }
 
 // register passes a searcher's registration to the directory, which ignores one
--- a/io/wqpeer/fanout.go
+++ b/io/wqpeer/fanout.go
@@ -41,6 +41,7 @@
 	ElapsedMicros int64               `json:"elapsed_micros"` // ElapsedMicros is the time since the call arrived plus that reserved for the way back.
 	WaitMicros    int64               `json:"wait_micros"`    // WaitMicros is the timeout from the arrival of the call; 0 means the limit of the route.
 	Route         *wqroute.Route      `json:"route"`
+	Caller        caller              `json:"caller"`
 }
 
 // valid reports whether a hub can run the request.
@@ -62,7 +63,7 @@
 	data, err := json.Marshal(fanOutRequest{
 		ID: call.ID, Method: call.Method, Host: call.Host, Path: call.Path, Query: call.Query, Header: call.Header, Body: call.Body,
 		ElapsedMicros: (time.Since(call.Arrived) + latency + replyTransit).Microseconds(), WaitMicros: call.Timeout.Microseconds(),
-		Route: route,
+		Route: route, Caller: encodeCaller(call),
 	})
 	if err != nil {
 		return wqcall.Reply{}, eris.Wrap(err, "encode a request for a hub")
@@ -157,10 +158,12 @@
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return // The sender has closed the connection.
 	}
-	reply := h.ServeRoute(r.Context(), &wqcall.Call{
+	call := &wqcall.Call{
 		ID: request.ID, Method: request.Method, Host: request.Host, Path: request.Path, Query: request.Query, Header: request.Header, Body: request.Body,
 		Arrived: arrived.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond), Timeout: time.Duration(request.WaitMicros) * time.Microsecond,
-	}, request.Route)
+	}
+	request.Caller.decodeInto(call)
+	reply := h.ServeRoute(r.Context(), call, request.Route)
 	if reply.Status == wqcall.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -33,7 +33,7 @@
 // sends.
 func (d *driver[S, P]) run(ctx context.Context) wqcall.Reply {
 	defer close(d.replied)
-	reply := d.runToEnd(ctx)
+	reply := d.replyToWithdrawn(d.runToEnd(ctx))
 	reply.Sends = d.sendCounts
 	return reply
 }
@@ -99,6 +99,7 @@
 
 func (d *driver[S, P]) handleResult(ctx context.Context, r sendResult) {
 	delete(d.cancels, r.send.ID)
+	d.endIfNotPermitted()
 	d.startSends(ctx, d.gather.HandleResult(time.Now(), d.relay.Plan().Pools, r.send, r.result))
 	if !d.gather.Answered(r.send.ServiceIndex) {
 		return
--- a/io/wqrelay/record.go
+++ b/io/wqrelay/record.go
@@ -26,6 +26,9 @@
 		attributes = append(attributes, slog.String("route", route.Name), slog.Uint64("version", plan.Table.Version), slog.Uint64("as_of", plan.StoreRevision))
 		coverage -= float64(reply.Missing) / float64(max(len(route.Shards), 1))
 	}
+	if c.Tenant != "" {
+		attributes = append(attributes, slog.String("tenant", c.Tenant))
+	}
 	if reply.Sends.All > 0 {
 		attributes = append(attributes, slog.Int("sends", reply.Sends.All), slog.Int("extra", reply.Sends.Extra), slog.Int("other_zone", reply.Sends.Far))
 	}
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -147,6 +147,9 @@
 	case int64(len(c.Body)) > plan.Table.Limits.MaxBodyBytes:
 		return wqcall.Reply{Status: wqcall.BodyTooLarge, Reason: "the body is over the limit"}
 	}
+	if reply, ok := identify(c, plan.Table, route); !ok {
+		return reply
+	}
 	services := route.Shards
 	if !route.FanOut() {
 		services = []string{r.serviceRotation.NextService(route)}
--- a/test/wqfakeplatform/caller.go
+++ b/test/wqfakeplatform/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -34,9 +35,18 @@
 	return f.SendAndCancel(vm, method, target, body, deadline, deadline)
 }
 
+// SendWithHeader is Send for a caller that sets header fields of its own.
+func (f *Fleet) SendWithHeader(vm *VM, method, target, body string, deadline time.Duration, header http.Header) Reply {
+	return f.send(vm, method, target, body, deadline, deadline, header)
+}
+
 // SendAndCancel is Send for a caller that closes the connection after
 // cancelAfter, before its deadline.
 func (f *Fleet) SendAndCancel(vm *VM, method, target, body string, deadline, cancelAfter time.Duration) Reply {
+	return f.send(vm, method, target, body, deadline, cancelAfter, nil)
+}
+
+func (f *Fleet) send(vm *VM, method, target, body string, deadline, cancelAfter time.Duration, header http.Header) Reply {
 	id := fmt.Sprintf("q%06d", f.sequence.Add(1))
 	r := Reply{RequestID: id, Method: method, Target: target, VM: vm.Name, SentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelAfter)
@@ -45,6 +55,7 @@
 	must.NoError(f.t, err)
 	request.Host = Host
 	request.GetBody = nil
+	maps.Copy(request.Header, header)
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	response, err := f.httpClient.Do(request)
--- a/test/wqfakeplatform/configuration.go
+++ b/test/wqfakeplatform/configuration.go
@@ -16,6 +16,7 @@
 	MaxAttempts     int      `json:"maxAttempts"`
 	TopK            int      `json:"topK,omitempty"`
 	MinShardRatio   float64  `json:"minShardRatio,omitempty"`
+	AllowAnonymous  bool     `json:"allowAnonymous,omitempty"`
 }
 
 // Configuration is the operators' configuration in the format of the store.
@@ -23,6 +24,7 @@
 	Version  int       `json:"version"`
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
 	Limits   struct {
 		MaxHeaderBytes  int `json:"maxHeaderBytes"`
 		MaxBodyBytes    int `json:"maxBodyBytes"`
@@ -31,6 +33,15 @@
 	} `json:"limits"`
 }
 
+// Tenant is one client account of a Configuration.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	Priority *int     `json:"priority,omitempty"`
+	RatePerS float64  `json:"ratePerS,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
+}
+
 // Service is one service of a Configuration.
 type Service struct {
 	Name           string `json:"name"`
--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -39,6 +39,9 @@
 	RequestID string
 	Request   string // Request is the method, the request target and the body.
 	StartedAt time.Time
+
+	Tenant        []string // Tenant holds the values of that header field, Authorization of that one.
+	Authorization []string
 }
 
 // Searcher is a fake searcher, one instance of a service.
@@ -129,7 +132,7 @@
 		return
 	}
 	id := r.Header.Get("Request-Id")
-	s.recordExecution(Execution{Searcher: s.ID, Service: s.Service, RequestID: id, Request: r.Method + " " + r.RequestURI + " " + string(body), StartedAt: time.Now()})
+	s.recordExecution(Execution{Searcher: s.ID, Service: s.Service, RequestID: id, Request: r.Method + " " + r.RequestURI + " " + string(body), StartedAt: time.Now(), Tenant: r.Header["Tenant"], Authorization: r.Header["Authorization"]})
 	if b.Hang {
 		b.ProcessingTime = time.Minute
 	}
