--- /dev/null
+++ b/core/wqrollout/order.go
@@ -0,0 +1,102 @@
+package wqrollout
+
+import (
+	"time"
+
+	"wisteriaquay/core/wqbound"
+	"wisteriaquay/core/wqverdict"
+)
+
+// Phase is the state of a rollout.
+type Phase uint8
+
+// The phases. The order of the last three is the order in which they override each
+// other on a VM: what the store says is final.
+const (
+	None       Phase = iota // None means that there is no rollout.
+	Held                    // Held means that a version appeared without an order and waits for one.
+	Running                 // Running means that the new version gets the share of the directive.
+	Switching               // Switching means that only the new version gets requests, and completion is due.
+	RolledBack              // RolledBack means that the new version gets nothing any more.
+	Completed               // Completed means that the old version gets nothing any more.
+)
+
+// String returns the name of the phase in logs and metrics.
+func (p Phase) String() string {
+	return [...]string{"none", "held", "running", "switching", "rolled_back", "completed"}[min(p, Completed)]
+}
+
+// Final reports whether the phase is an end.
+func (p Phase) Final() bool { return p == RolledBack || p == Completed }
+
+// Order is an operator's order to move a service to a version.
+type Order struct {
+	Service  string
+	Version  string
+	Duration time.Duration // Duration is the time from the order to its deadline.
+	Revision uint64        // Revision is the store's revision of the order.
+}
+
+// Status is the state of a rollout in the store.
+type Status struct {
+	Service  string
+	Version  string
+	Phase    Phase  // Phase is Running, Completed or RolledBack.
+	Revision uint64 // Revision is the store's revision of the status; 0 for none.
+}
+
+// Of reports whether the status belongs to an order, rather than to an earlier one.
+func (s Status) Of(o Order) bool { return s.Revision > o.Revision && s.Version == o.Version }
+
+// Directive is what traffic does about one rollout.
+type Directive struct {
+	Service       string
+	Version       string // Version is the new version.
+	OrderRevision uint64
+	Phase         Phase
+	Share         float64 // Share is the part of the sends that the new version gets while Running.
+	Reason        string
+	ValidUntil    time.Time // ValidUntil is when a VM that hears nothing more stops using the new version.
+}
+
+// AllowsNew reports whether the new version may get any request.
+func (d *Directive) AllowsNew(now time.Time) bool {
+	switch d.Phase {
+	case None, Completed:
+		return true
+	case Running, Switching:
+		return d.Share > 0 && now.Before(d.ValidUntil)
+	}
+	return false
+}
+
+// PrefersNew reports whether the old version gets a request only if there is no searcher
+// of the new one.
+func (d *Directive) PrefersNew(now time.Time) bool {
+	return d.Phase == Completed || d.Phase == Switching && now.Before(d.ValidUntil)
+}
+
+// Directives holds the directive of each service with a rollout.
+type Directives map[string]Directive
+
+// Report is the evidence of one VM on one rollout. Its counts are totals since the VM
+// first knew the order, so a report that is lost or repeated does no harm.
+type Report struct {
+	Service       string          `json:"service"`
+	OrderRevision uint64          `json:"order_revision"`
+	VM            string          `json:"vm"`
+	Epoch         uint64          `json:"epoch"` // Epoch is the start of the VM's process.
+	AgeMillis     int64           `json:"age_millis"`
+	Witnessed     bool            `json:"witnessed"`             // Witnessed is true if AgeMillis is known to count from the order.
+	RolledBack    string          `json:"rolled_back,omitempty"` // RolledBack is the reason if the VM knows of a verdict against the version.
+	SentNew       uint64          `json:"sent_new"`
+	SentOld       uint64          `json:"sent_old"`
+	OldInFlight   int             `json:"old_in_flight"`
+	Rows          []wqverdict.Row `json:"rows,omitempty"`
+}
+
+// DefaultLimits returns the limits for an order in a deployment whose settings have
+// none: half of the usual share, and no slack.
+func DefaultLimits() wqbound.Rollout {
+	return wqbound.Rollout{Share: 0.05, RollbackTime: 5 * time.Second}
+}
--- /dev/null
+++ b/core/wqrollout/rollout.go
@@ -0,0 +1,306 @@
+// Package wqrollout decides on the rollout of a version of searchers: which share of a
+// service's requests the new version gets, when all requests move to it, and when it is
+// given up. One VM, the coordinator, runs a Rollout on the evidence that all VMs report.
+//
+// The new version gets a small share until shortly before the deadline, since everything
+// it gets after the move counts against the limit if it turns out to be bad. Then the
+// share rises in steps, which uses the part of the limit that was left for the purpose,
+// so that faults that appear under load only are seen within the limit. In doubt the
+// version is rolled back: a good version that is not completed costs less than a bad one
+// that gets too many requests.
+//
+// Load handled: 920 VMs that report twice a second, 5 to 500 requests a second.
+//
+// # Usage
+//
+//	r := wqrollout.New(order, limits, now)
+//	r.HandleReport(now, report)
+//	r.Tick(now, liveVMs)
+//	directive := r.Directive()
+package wqrollout
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriaquay/core/wqbound"
+	"wisteriaquay/core/wqverdict"
+)
+
+const (
+	// ContactTimeout is the time without the coordinator after which a VM stops using
+	// the new version.
+	ContactTimeout = 2 * time.Second
+	// MinDuration is the shortest time from an order to its deadline in which a version
+	// can be judged and all requests moved.
+	MinDuration = 12 * time.Second
+
+	runningShare   = 0.7  // runningShare is the part of the limit's share that is used while nothing else is known.
+	provenShare    = 0.3  // provenShare is that part once there is much evidence; the rest is left for the steps.
+	provenFrom     = 300  // provenFrom is the number of responses from which provenShare is used.
+	slackShare     = 0.35 // slackShare is the part of the slack that few requests may use before the steps.
+	cautionShare   = 0.8  // cautionShare of the limit's share and of the slack; beyond it nothing more is spent.
+	maxBoost       = 0.5  // maxBoost bounds the share of the new version before the steps.
+	minResponses   = 15   // minResponses is the least evidence for completion.
+	minReporting   = 0.6  // minReporting is the part of the VMs with traffic that must have reported lately.
+	freshFor       = 1800 * time.Millisecond
+	forgetAfter    = 10 * time.Second // forgetAfter is the time without a report after which a VM counts as gone.
+	rateHalfLife   = 4 * time.Second
+	stepTime       = 1500 * time.Millisecond // stepTime lets evidence of a step arrive before the next.
+	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
+	switchTime     = 1500 * time.Millisecond // switchTime is the time in which requests in flight on the old version end.
+	minLead        = 8 * time.Second         // minLead is the least time before the deadline at which the steps begin.
+	maxLead        = 12 * time.Second
+	leadShare      = 0.2 // leadShare is the part of the duration for the steps, within minLead and maxLead.
+)
+
+// steps are the shares on the way to the move. The last one keeps some requests on the
+// old version, as the comparison for faults that hit both.
+var steps = [...]float64{0.25, 0.5, 0.9}
+
+// Rollout is the state of one rollout at its coordinator. Create it with New.
+type Rollout struct {
+	Order     Order
+	Limits    wqbound.Rollout
+	Recovered bool // Recovered is true while no VM knows the time of the order.
+
+	phase     Phase
+	share     float64
+	reason    string
+	moved     bool      // moved is true once nothing keeps the rollout from being completed.
+	firstSeen time.Time // firstSeen is the time of the order as far as it is known.
+	createdAt time.Time
+	step      int // step counts the steps begun, 0 before the first.
+	stepAt    time.Time
+	vms       map[string]*vmState
+	test      *wqverdict.Test
+	pending   []wqverdict.Row
+	sentNew   uint64
+	sentOld   uint64
+	rate      float64 // rate is the moving average of sends a second.
+	countedAt time.Time
+	counted   uint64
+}
+
+// vmState is the latest report of one process.
+type vmState struct {
+	epoch       uint64
+	rows        map[wqverdict.Key]wqverdict.Row
+	sentNew     uint64
+	sentOld     uint64
+	oldInFlight int
+	reportedAt  time.Time
+}
+
+// New returns a rollout that begins at now. Its start is corrected by reports of VMs
+// that know the order for longer.
+func New(o Order, limits wqbound.Rollout, now time.Time) *Rollout {
+	if limits.Share <= 0 {
+		limits = DefaultLimits()
+	}
+	return &Rollout{
+		Order: o, Limits: limits, Recovered: true, phase: Running, firstSeen: now, createdAt: now, countedAt: now,
+		vms: make(map[string]*vmState), test: wqverdict.New(), share: runningShare * limits.Share,
+	}
+}
+
+// Phase returns the phase and, for RolledBack, the reason.
+func (r *Rollout) Phase() (Phase, string) { return r.phase, r.reason }
+
+// Due returns the state that has to be in the store: Running, RolledBack or Completed.
+// Until Completed is in the store, evidence may still change it to RolledBack.
+func (r *Rollout) Due() Phase {
+	switch {
+	case r.phase == RolledBack:
+		return RolledBack
+	case r.moved:
+		return Completed
+	}
+	return Running
+}
+
+// Sent returns the reported sends to the new and to the old version.
+func (r *Rollout) Sent() (sentNew, sentOld uint64) { return r.sentNew, r.sentOld }
+
+// Responses returns the number of responses of the new version that were compared.
+func (r *Rollout) Responses() uint64 { return r.test.Responses() }
+
+// Directive returns what the VMs have to do; its ValidUntil is not set.
+func (r *Rollout) Directive() Directive {
+	return Directive{
+		Service: r.Order.Service, Version: r.Order.Version, OrderRevision: r.Order.Revision,
+		Phase: r.phase, Share: r.share, Reason: r.reason,
+	}
+}
+
+// RollBack gives the version up.
+func (r *Rollout) RollBack(reason string) {
+	if r.phase.Final() {
+		return
+	}
+	r.phase, r.share, r.reason, r.moved = RolledBack, 0, reason, false
+}
+
+// HandleReport takes in the evidence of one VM.
+func (r *Rollout) HandleReport(now time.Time, report *Report) {
+	if report.OrderRevision != r.Order.Revision {
+		return
+	}
+	if report.RolledBack != "" {
+		r.RollBack(report.RolledBack)
+	}
+	if report.Witnessed {
+		r.Recovered = false
+		age := time.Duration(min(max(report.AgeMillis, 0), time.Hour.Milliseconds())) * time.Millisecond
+		if at := now.Add(-age); at.Before(r.firstSeen) {
+			r.firstSeen = at
+		}
+	}
+	v := r.vms[report.VM]
+	if v == nil || v.epoch != report.Epoch {
+		v = &vmState{epoch: report.Epoch, rows: make(map[wqverdict.Key]wqverdict.Row)}
+		r.vms[report.VM] = v
+	}
+	for i := range report.Rows {
+		row := &report.Rows[i]
+		before := v.rows[row.Key()]
+		r.pending = append(r.pending, row.Since(&before))
+		v.rows[row.Key()] = *row
+	}
+	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
+	r.sentOld += max(report.SentOld, v.sentOld) - v.sentOld
+	v.sentNew, v.sentOld = max(report.SentNew, v.sentNew), max(report.SentOld, v.sentOld)
+	v.oldInFlight, v.reportedAt = report.OldInFlight, now
+}
+
+// Tick evaluates the evidence and takes the steps that are due.
+func (r *Rollout) Tick(now time.Time) {
+	r.updateRate(now)
+	if r.phase.Final() {
+		r.pending = nil
+		return
+	}
+	r.test.LatencyFrozen = r.step > 0
+	r.test.Add(now, r.pending)
+	r.pending = nil
+	if reason := r.test.Bad(); reason != "" {
+		r.RollBack(reason)
+		return
+	}
+	switch {
+	case r.Order.Duration < MinDuration:
+		r.RollBack(fmt.Sprintf("duration %s is too short for a verdict; order at least %s", r.Order.Duration, MinDuration))
+	case r.phase == Switching:
+		r.finish(now)
+	case now.Before(r.stepsAt()):
+		r.share = r.quietShare(now)
+	default:
+		r.advance(now)
+	}
+}
+
+// Deadline returns the time at which the rollout has to be completed. Without the time
+// of the order, it assumes that two thirds of the duration are over.
+func (r *Rollout) Deadline() time.Time {
+	if r.Recovered {
+		return r.createdAt.Add(max(r.Order.Duration/3, MinDuration))
+	}
+	return r.firstSeen.Add(r.Order.Duration)
+}
+
+// stepsAt returns when the steps begin.
+func (r *Rollout) stepsAt() time.Time {
+	lead := min(max(time.Duration(leadShare*float64(r.Order.Duration)), minLead), maxLead)
+	return r.Deadline().Add(-lead)
+}
+
+// quietShare returns the share of the new version before the steps. Few requests use a
+// part of the slack, as their share alone gives too little evidence.
+func (r *Rollout) quietShare(now time.Time) float64 {
+	usual := runningShare * r.Limits.Share
+	caution := cautionShare * (r.Limits.Share*float64(r.sentNew+r.sentOld) + r.Limits.Slack)
+	switch {
+	case float64(r.sentNew) > caution:
+		return 0
+	case r.test.Responses() >= provenFrom:
+		return provenShare * r.Limits.Share
+	case r.Recovered || r.rate <= 0 || now.Sub(r.createdAt) < rateHalfLife:
+		return usual
+	}
+	total := r.rate * r.stepsAt().Sub(r.firstSeen).Seconds()
+	return min(usual+slackShare*r.Limits.Slack/max(total, 1), maxBoost)
+}
+
+// advance takes the next step if the evidence allows it.
+func (r *Rollout) advance(now time.Time) {
+	finishAt := r.Deadline().Add(-completionLead - switchTime)
+	switch {
+	case r.test.Responses() < minResponses && r.step == 0:
+		r.RollBack(fmt.Sprintf("too little evidence: %d responses of the new version, %d needed", r.test.Responses(), minResponses))
+	case !now.Before(r.Deadline().Add(-completionLead / 2)):
+		r.RollBack("the evidence stayed unclear until the deadline")
+	case r.test.Suspicious() || !r.informed(now):
+	case r.step < len(steps) && (r.step == 0 || now.Sub(r.stepAt) >= stepTime):
+		r.share = steps[r.step]
+		r.step, r.stepAt = r.step+1, now
+	case r.step == len(steps) && !now.Before(finishAt) && now.Sub(r.stepAt) >= stepTime:
+		r.phase, r.share, r.stepAt = Switching, 1, now
+	}
+}
+
+// finish completes the rollout once nothing is in flight on the old version, or at the
+// latest while there is time for the write.
+func (r *Rollout) finish(now time.Time) {
+	lastCall := !now.Before(r.Deadline().Add(-completionLead / 2))
+	switch {
+	case r.moved:
+	case !r.informed(now) && lastCall:
+		r.RollBack("too few VMs reported before the deadline")
+	case r.test.Suspicious() && lastCall:
+		r.RollBack("the evidence stayed unclear until the deadline")
+	case !r.informed(now) || r.test.Suspicious() || now.Sub(r.stepAt) < switchTime:
+	case r.oldInFlight(now) == 0 || lastCall:
+		r.moved = true
+	}
+}
+
+// informed reports whether enough of the VMs have reported lately. A coordinator that
+// was frozen or cut off must not act on old evidence.
+func (r *Rollout) informed(now time.Time) bool {
+	fresh, known := 0, 0
+	for _, v := range r.vms {
+		if v.sentNew+v.sentOld == 0 || now.Sub(v.reportedAt) > forgetAfter {
+			continue
+		}
+		known++
+		if now.Sub(v.reportedAt) <= freshFor {
+			fresh++
+		}
+	}
+	return fresh > 0 && float64(fresh) >= minReporting*float64(known)
+}
+
+func (r *Rollout) oldInFlight(now time.Time) int {
+	n := 0
+	for _, v := range r.vms {
+		if now.Sub(v.reportedAt) <= freshFor {
+			n += v.oldInFlight
+		}
+	}
+	return n
+}
+
+func (r *Rollout) updateRate(now time.Time) {
+	elapsed := now.Sub(r.countedAt)
+	if elapsed < time.Second {
+		return
+	}
+	sent := r.sentNew + r.sentOld
+	current := float64(sent-r.counted) / elapsed.Seconds()
+	if r.counted == 0 {
+		r.rate = current
+	}
+	weight := min(1, float64(elapsed)/float64(2*rateHalfLife))
+	r.rate += weight * (current - r.rate)
+	r.countedAt, r.counted = now, sent
+}
--- /dev/null
+++ b/core/wqverdict/verdict.go
@@ -0,0 +1,274 @@
+// Package wqverdict decides from counted responses whether a new version of searchers
+// is worse than the old one. It compares both over the same time, so that faults of the
+// network or of the load, which hit both sides, are not held against the new version.
+//
+// Three kinds of bad response are tested apart: responses that report a failure, answers
+// several times slower than the usual answer of the old side on the same route, and
+// responses that are lost or invalid. Each test is a one-sided CUSUM of the
+// log-likelihood ratio between "bad as often as the old side" and "a fixed share more
+// often". It forgets good responses, so that a fault that starts late is found as fast
+// as one from the start. Load handled: up to some thousand responses per evaluation in
+// constant memory for each route and searcher.
+//
+// # Usage
+//
+//	t := wqverdict.New()
+//	t.Add(now, rows) // the growth since the previous call, both sides
+//	if reason := t.Bad(); reason != "" { ... roll back ... }
+package wqverdict
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+// The kinds of bad response.
+const (
+	failures = iota
+	slowness
+	losses
+	kindCount
+)
+
+var kindNames = [kindCount]string{"failures", "slow answers", "lost responses"}
+
+const (
+	// Threshold is the sum of log-likelihood ratios at which a version counts as bad. By
+	// Wald's bound, a start of the sum at zero leads to a false verdict with a
+	// probability under exp(-Threshold), 1 in 3,000 for each kind and route.
+	Threshold = 8.0
+	// lossThreshold is higher since the network loses responses as well.
+	lossThreshold = 12.0
+	// suspectSum is the sum from which a single searcher counts as affected.
+	suspectSum = 1.5
+	// clearResponses is the number of responses of an unaffected searcher from which it
+	// speaks for the version.
+	clearResponses = 15
+	// slowFactor is how many times the median of the old side a slow answer takes: three
+	// times slower versions exceed it, and a spread of 0.5 (lognormal) does in 1 of 30.
+	slowFactor = 2.5
+	nearMargin = 3 * time.Millisecond // nearMargin covers pauses of the sender on short routes.
+	farMargin  = 9 * time.Millisecond // farMargin covers a new connection to another availability zone too.
+
+	longHalfLife  = 15 * time.Second
+	shortHalfLife = 2 * time.Second
+	minMedianFrom = 12 // minMedianFrom is the number of old answers from which their median is used.
+	maxSum        = 40 // maxSum bounds the sums.
+)
+
+// excess is the share of responses that a bad version makes bad beyond those that the
+// old side has too; floor is the least share that the old side is assumed to have.
+var (
+	excess = [kindCount]float64{0.2, 0.35, 0.3}
+	floor  = [kindCount]float64{0.015, 0.04, 0.03}
+)
+
+// routeKey identifies the responses that can be compared: the same route, and the same
+// distance to the searcher.
+type routeKey struct {
+	route string
+	far   bool
+}
+
+// Test holds the evidence of one rollout. Create it with New.
+type Test struct {
+	// LatencyFrozen keeps the usual latency of the old side as it is. Set it once the
+	// old side no longer bears its usual load.
+	LatencyFrozen bool
+
+	baselines map[routeKey]*baseline
+	all       sums
+	routes    map[string]*sums
+	searchers map[string]*searcherSums
+	responses uint64
+	addedAt   time.Time
+}
+
+// sums holds the CUSUM of each kind.
+type sums [kindCount]float64
+
+type searcherSums struct {
+	sums
+	responses uint64
+}
+
+// New returns a test without evidence.
+func New() *Test {
+	return &Test{baselines: make(map[routeKey]*baseline), routes: make(map[string]*sums), searchers: make(map[string]*searcherSums)}
+}
+
+// Responses returns the number of responses of the new version so far.
+func (t *Test) Responses() uint64 { return t.responses }
+
+// Add adds the responses since the previous call. Counts of one key may be in several
+// rows.
+func (t *Test) Add(now time.Time, rows []Row) {
+	elapsed := time.Duration(0)
+	if !t.addedAt.IsZero() {
+		elapsed = max(0, now.Sub(t.addedAt))
+	}
+	t.addedAt = now
+	t.addOld(elapsed, rows)
+	var all sums
+	routes, searchers := make(map[string]*sums), make(map[string]*sums)
+	for i := range rows {
+		r := &rows[i]
+		if !r.New {
+			continue
+		}
+		ratio := t.logRatios(r)
+		all.add(ratio)
+		entry(routes, r.Route).add(ratio)
+		entry(searchers, r.Searcher).add(ratio)
+		n := r.Answered + r.Failed + r.Lost
+		t.responses += n
+		t.searcher(r.Searcher).responses += n
+	}
+	t.all.accumulate(&all)
+	for name, s := range routes {
+		entry(t.routes, name).accumulate(s)
+	}
+	for id, s := range searchers {
+		t.searcher(id).accumulate(s)
+	}
+}
+
+// addOld updates the baselines with the responses of the old side.
+func (t *Test) addOld(elapsed time.Duration, rows []Row) {
+	seen := make(map[routeKey]bool)
+	for i := range rows {
+		r := &rows[i]
+		if r.New {
+			continue
+		}
+		k := routeKey{r.Route, r.Far}
+		b := entry(t.baselines, k)
+		if !seen[k] {
+			seen[k] = true
+			b.decay(elapsed, t.LatencyFrozen)
+		}
+		b.add(r, t.LatencyFrozen)
+	}
+}
+
+// logRatios returns the log-likelihood ratio of each kind for new responses.
+func (t *Test) logRatios(r *Row) sums {
+	b := t.baselines[routeKey{r.Route, r.Far}]
+	if b == nil {
+		b = t.otherDistance(r)
+	}
+	complete := float64(r.Answered + r.Failed)
+	var s sums
+	s[failures] = logRatio(failures, float64(r.Failed), complete, b.share(failures))
+	s[losses] = logRatio(losses, float64(r.Lost), complete+float64(r.Lost), b.share(losses))
+	if limit, ok := b.slowLimit(r.Far); ok {
+		slow, total := slowCount(r, limit)
+		s[slowness] = logRatio(slowness, slow, total, b.share(slowness))
+	}
+	return s
+}
+
+// otherDistance returns the baseline of the route's searchers at the other distance, an
+// empty one if there is none.
+func (t *Test) otherDistance(r *Row) *baseline {
+	if b := t.baselines[routeKey{r.Route, !r.Far}]; b != nil {
+		return b
+	}
+	return &baseline{}
+}
+
+// Bad returns why the version is bad, in a few words, or an empty string.
+func (t *Test) Bad() string {
+	for kind := range kindCount {
+		limit := Threshold
+		if kind == losses {
+			limit = lossThreshold
+		}
+		if t.all[kind] >= limit && !t.limitedToSearcher(kind) {
+			return fmt.Sprintf("%s on all routes, score %.1f", kindNames[kind], t.all[kind])
+		}
+		for name, s := range t.routes {
+			if s[kind] >= limit && !t.limitedToSearcher(kind) {
+				return fmt.Sprintf("%s on route %s, score %.1f", kindNames[kind], name, s[kind])
+			}
+		}
+	}
+	return ""
+}
+
+// Suspicious reports whether the evidence is half way to a verdict.
+func (t *Test) Suspicious() bool {
+	for kind := range kindCount {
+		if t.all[kind] >= Threshold/2 && !t.limitedToSearcher(kind) {
+			return true
+		}
+	}
+	return false
+}
+
+// limitedToSearcher reports whether one searcher alone is affected while others of the
+// version have responded well: that is a fault of its machine or of its network.
+func (t *Test) limitedToSearcher(kind int) bool {
+	suspects, clear := 0, 0
+	for _, s := range t.searchers {
+		switch {
+		case s.sums[kind] >= suspectSum:
+			suspects++
+		case s.responses >= clearResponses:
+			clear++
+		}
+	}
+	return suspects == 1 && clear > 0
+}
+
+func (t *Test) searcher(id string) *searcherSums { return entry(t.searchers, id) }
+
+func (s *sums) add(o sums) {
+	for i := range s {
+		s[i] += o[i]
+	}
+}
+
+// accumulate adds the ratios of one evaluation to the CUSUM.
+func (s *sums) accumulate(o *sums) {
+	for i := range s {
+		s[i] = min(maxSum, max(0, s[i]+o[i]))
+	}
+}
+
+// logRatio returns the log-likelihood ratio for bad of n responses between a share p0
+// and the share of a bad version.
+func logRatio(kind int, bad, n, p0 float64) float64 {
+	if n <= 0 {
+		return 0
+	}
+	p1 := 1 - (1-p0)*(1-excess[kind])
+	return bad*math.Log(p1/p0) + (n-bad)*math.Log((1-p1)/(1-p0))
+}
+
+// slowCount returns how many of the responses took longer than limit, and of how many
+// that is known.
+func slowCount(r *Row, limit time.Duration) (slow, total float64) {
+	from := Bucket(limit) + 1
+	for i, n := range r.Latency {
+		total += float64(n)
+		if i >= from {
+			slow += float64(n)
+		}
+	}
+	for i, n := range r.Cut {
+		if i >= from {
+			slow += float64(n)
+			total += float64(n)
+		}
+	}
+	return slow, total
+}
+
+func entry[K comparable, V any](m map[K]*V, k K) *V {
+	if m[k] == nil {
+		m[k] = new(V)
+	}
+	return m[k]
+}
