Rollouts of a searcher version, from the order to the status

The store's order and status are decoded into changes, the control goroutine exchanges evidence with the coordinator and publishes directives, traffic obeys them in its picker and right before the first byte, and the status is written on the revisions of order and status.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -98,6 +98,7 @@
 		CountBytes: h.metrics.CountPeerBytes, Log: h.Log,
 	}
 	h.controller.Peers = peers
+	h.connectRollouts(peers)
 	client, closeClient := wqtarget.New()
 	defer closeClient()
 	client.MaxBufferedBytes = max(client.MaxBufferedBytes, int64(responseBufferShare*float64(h.Settings.MemoryLimit)))
@@ -163,6 +164,7 @@
 		Plan: h.controller.Plan, Sender: &wqegress.Sender{Client: h.searcherClient, MaySend: h.maySend}, Tracker: wqselector.New(), Zone: h.Settings.Zone,
 		RetryQuota: wqretryquota.New(h.Settings.RetryLimits, time.Now()), HubClient: hubs,
 		Placement:       wqplacement.NearestShards{Zone: h.Settings.Zone, MinSavedShare: wqplacement.DefaultMinSavedShare},
+		Canary:          h.controller.Rollouts.Meter,
 		OnWrongSearcher: h.controller.WrongSearcher, Metrics: h.metrics, Log: h.Log,
 		StartupWait: wqrelay.StartupWait{Configured: h.controller.Configured(), ConfigExpected: func() bool { return !h.storeUnreachable.Load() }},
 	}
--- a/core/wqcanary/meter.go
+++ b/core/wqcanary/meter.go
@@ -2,7 +2,8 @@
 // and counts the responses of both versions.
 //
 // A Meter earns credit of the directive's share with every send that has reached the
-// service, and pays 1 for each send to the new version. The credit starts at a random
+// service, and pays 1 for each send to the new version, which may use the credit that it
+// will earn itself. The credit starts at a random
 // value from 0 to 1, so that the sum over many VMs with few requests each has the right
 // mean without messages between them. Sends that did not reach the service earn nothing.
 //
@@ -95,7 +96,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	s := m.services[name]
-	return s != nil && s.credit >= 1 && !now.Before(s.stoppedUntil)
+	return s != nil && s.credit+s.directive.Share >= 1 && !now.Before(s.stoppedUntil)
 }
 
 // Sent counts the start of a send. The credit may fall below 0 when requests choose at
--- a/core/wqchange/change.go
+++ b/core/wqchange/change.go
@@ -11,6 +11,7 @@
 
 import (
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqrollout"
 	"wisteriaquay/core/wqroute"
 )
 
@@ -26,6 +27,9 @@
 	Registered                      // Registered means that a searcher was registered or its registration changed; Registration holds it.
 	Unregistered                    // Unregistered means that the registration of SearcherID has ended.
 	InvalidRegistration             // InvalidRegistration means that the registration of SearcherID is malformed or incomplete.
+	RolloutOrdered                  // RolloutOrdered means that an operator ordered a rollout; Order holds it.
+	RolloutWithdrawn                // RolloutWithdrawn means that the order for Service was removed, or can't be read.
+	RolloutStatus                   // RolloutStatus means that the status of a rollout was written or removed; Status holds it.
 	InvalidItem                     // InvalidItem means that an item other than a registration is malformed.
 )
 
@@ -37,5 +41,8 @@
 	Zone         string
 	Registration wqdirectory.Registration
 	SearcherID   string
-	Problem      string // what is wrong with an InvalidRegistration or InvalidItem
+	Order        wqrollout.Order
+	Status       wqrollout.Status
+	Service      string
+	Problem      string // what is wrong with an InvalidRegistration, InvalidItem or order
 }
--- a/core/wqplan/plan.go
+++ b/core/wqplan/plan.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqrollout"
 	"wisteriaquay/core/wqroute"
 )
 
@@ -28,6 +29,7 @@
 	FleetSize     int                   // live VMs that share the limits of the searchers, this one included
 	Hubs          []*wqdirectory.Target // VMs that run fan-outs for others; empty when every VM runs its own
 	IsHub         bool                  // this VM is one of Hubs
+	Rollouts      wqrollout.Directives  // rollouts of searcher versions, by service; nil when there is none
 	Stopping      bool                  // true from SIGTERM on
 	StoreRevision uint64                // latest revision of the store that the plan includes
 	ConfirmedBy   string                // source of the latest confirmation: the store or a peer id; empty before the first
@@ -63,7 +65,7 @@
 	}
 	current := pool[i]
 	becameCold := current.ColdStartRate > 0 && now.Before(current.ColdStartEnd) && !now.Before(t.ColdStartEnd)
-	return current.Searcher.Address == t.Searcher.Address && current.Incarnation == t.Incarnation && !becameCold
+	return current.Searcher.Address == t.Searcher.Address && current.Incarnation == t.Incarnation && !becameCold && p.rolloutAllows(now, pool, current)
 }
 
 // Ready reports whether the load balancer should send callers to this VM.
--- a/core/wqrollout/order.go
+++ b/core/wqrollout/order.go
@@ -50,13 +50,23 @@
 
 // Directive is what traffic does about one rollout.
 type Directive struct {
-	Service       string
-	Version       string // Version is the new version.
-	OrderRevision uint64
-	Phase         Phase
-	Share         float64 // Share is the part of the sends that the new version gets while Running.
-	Reason        string
-	ValidUntil    time.Time // ValidUntil is when a VM that hears nothing more stops using the new version.
+	Service       string    `json:"service"`
+	Version       string    `json:"version"` // Version is the new version.
+	OrderRevision uint64    `json:"order_revision"`
+	Phase         Phase     `json:"phase"`
+	Share         float64   `json:"share"`            // Share is the part of the sends that the new version gets while Running.
+	Step          int       `json:"step,omitempty"`   // Step counts the steps of the share; see Report.Step.
+	Reason        string    `json:"reason,omitempty"` // Reason is why the version is rolled back.
+	ValidUntil    time.Time `json:"-"`                // ValidUntil is when a VM that hears nothing more stops using the new version.
+}
+
+// Message is what two VMs send each other about rollouts: reports to the coordinator, and
+// directives from it.
+type Message struct {
+	From             string      `json:"from"`
+	Reports          []Report    `json:"reports,omitempty"`
+	Directives       []Directive `json:"directives,omitempty"`
+	StoreUnreachable bool        `json:"store_unreachable,omitempty"` // StoreUnreachable is true if the sender can't write a status, so that another VM should coordinate.
 }
 
 // AllowsNew reports whether the new version may get any request.
@@ -89,6 +99,7 @@
 	AgeMillis     int64           `json:"age_millis"`
 	Witnessed     bool            `json:"witnessed"`             // Witnessed is true if AgeMillis is known to count from the order.
 	RolledBack    string          `json:"rolled_back,omitempty"` // RolledBack is the reason if the VM knows of a verdict against the version.
+	Step          int             `json:"step,omitempty"`        // Step is that of the VM's directive, from which another coordinator goes on.
 	SentNew       uint64          `json:"sent_new"`
 	SentOld       uint64          `json:"sent_old"`
 	OldInFlight   int             `json:"old_in_flight"`
--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -35,10 +35,10 @@
 	// can be judged and all requests moved.
 	MinDuration = 12 * time.Second
 
-	runningShare   = 0.7  // runningShare is the part of the limit's share that is used while nothing else is known.
+	runningShare   = 0.6  // runningShare is the part of the limit's share that is used while nothing else is known.
 	provenShare    = 0.3  // provenShare is that part once there is much evidence; the rest is left for the steps.
 	provenFrom     = 300  // provenFrom is the number of responses from which provenShare is used.
-	slackShare     = 0.35 // slackShare is the part of the slack that few requests may use before the steps.
+	slackShare     = 0.12 // slackShare is the part of the slack that few requests may use before the steps.
 	cautionShare   = 0.8  // cautionShare of the limit's share and of the slack; beyond it nothing more is spent.
 	maxBoost       = 0.5  // maxBoost bounds the share of the new version before the steps.
 	minResponses   = 15   // minResponses is the least evidence for completion.
@@ -50,7 +50,7 @@
 	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
 	switchTime     = 1500 * time.Millisecond // switchTime is the time in which requests in flight on the old version end.
 	minLead        = 8 * time.Second         // minLead is the least time before the deadline at which the steps begin.
-	maxLead        = 12 * time.Second
+	maxLead        = 10 * time.Second
 	leadShare      = 0.2 // leadShare is the part of the duration for the steps, within minLead and maxLead.
 )
 
@@ -62,6 +62,7 @@
 type Rollout struct {
 	Order     Order
 	Limits    wqbound.Rollout
+	FleetSize int  // FleetSize is the number of VMs that send to the service, with those that are not reached.
 	Recovered bool // Recovered is true while no VM knows the time of the order.
 
 	phase     Phase
@@ -129,7 +130,7 @@
 func (r *Rollout) Directive() Directive {
 	return Directive{
 		Service: r.Order.Service, Version: r.Order.Version, OrderRevision: r.Order.Revision,
-		Phase: r.phase, Share: r.share, Reason: r.reason,
+		Phase: r.phase, Share: r.share, Step: r.step, Reason: r.reason,
 	}
 }
 
@@ -156,6 +157,7 @@
 			r.firstSeen = at
 		}
 	}
+	r.continueAt(now, report.Step)
 	v := r.vms[report.VM]
 	if v == nil || v.epoch != report.Epoch {
 		v = &vmState{epoch: report.Epoch, rows: make(map[wqverdict.Key]wqverdict.Row)}
@@ -173,6 +175,14 @@
 	v.oldInFlight, v.reportedAt = report.OldInFlight, now
 }
 
+// continueAt goes on at the step that another coordinator had reached.
+func (r *Rollout) continueAt(now time.Time, step int) {
+	if r.phase.Final() || step <= r.step || step > len(steps) {
+		return
+	}
+	r.step, r.share, r.stepAt = step, steps[step-1], now
+}
+
 // Tick evaluates the evidence and takes the steps that are due.
 func (r *Rollout) Tick(now time.Time) {
 	r.updateRate(now)
@@ -228,26 +238,35 @@
 		return usual
 	}
 	total := r.rate * r.stepsAt().Sub(r.firstSeen).Seconds()
-	return min(usual+slackShare*r.Limits.Slack/max(total, 1), maxBoost)
+	// Other coordinators may exist, so each uses the slack for the VMs that report to it.
+	part := min(1, float64(r.fresh(now))/float64(max(r.FleetSize, 1)))
+	return min(usual+part*slackShare*r.Limits.Slack/max(total, 1), maxBoost)
 }
 
 // advance takes the next step if the evidence allows it.
 func (r *Rollout) advance(now time.Time) {
 	finishAt := r.Deadline().Add(-completionLead - switchTime)
 	switch {
-	case r.test.Responses() < minResponses && r.step == 0:
-		r.RollBack(fmt.Sprintf("too little evidence: %d responses of the new version, %d needed", r.test.Responses(), minResponses))
+	case r.test.Responses() < minResponses/2 && r.step == 0:
+		r.RollBack(r.tooLittle(minResponses / 2))
 	case !now.Before(r.Deadline().Add(-completionLead / 2)):
 		r.RollBack("the evidence stayed unclear until the deadline")
 	case r.test.Suspicious() || !r.informed(now):
 	case r.step < len(steps) && (r.step == 0 || now.Sub(r.stepAt) >= stepTime):
 		r.share = steps[r.step]
 		r.step, r.stepAt = r.step+1, now
-	case r.step == len(steps) && !now.Before(finishAt) && now.Sub(r.stepAt) >= stepTime:
+	case r.step < len(steps) || now.Before(finishAt) || now.Sub(r.stepAt) < stepTime:
+	case r.test.Responses() < minResponses:
+		r.RollBack(r.tooLittle(minResponses))
+	default:
 		r.phase, r.share, r.stepAt = Switching, 1, now
 	}
 }
 
+func (r *Rollout) tooLittle(needed int) string {
+	return fmt.Sprintf("too little evidence: %d responses of the new version, %d needed", r.test.Responses(), needed)
+}
+
 // finish completes the rollout once nothing is in flight on the old version, or at the
 // latest while there is time for the write.
 func (r *Rollout) finish(now time.Time) {
@@ -264,8 +283,8 @@
 	}
 }
 
-// informed reports whether enough of the VMs have reported lately. A coordinator that
-// was frozen or cut off must not act on old evidence.
+// informed reports whether most of the fleet has reported lately, and most of the VMs with
+// traffic. A coordinator that was frozen or cut off must not act on old evidence.
 func (r *Rollout) informed(now time.Time) bool {
 	fresh, known := 0, 0
 	for _, v := range r.vms {
@@ -277,7 +296,18 @@
 			fresh++
 		}
 	}
-	return fresh > 0 && float64(fresh) >= minReporting*float64(known)
+	return fresh > 0 && float64(fresh) >= minReporting*float64(known) && 2*r.fresh(now) > r.FleetSize
+}
+
+// fresh returns the number of VMs that have reported lately.
+func (r *Rollout) fresh(now time.Time) int {
+	n := 0
+	for _, v := range r.vms {
+		if now.Sub(v.reportedAt) <= freshFor {
+			n++
+		}
+	}
+	return n
 }
 
 func (r *Rollout) oldInFlight(now time.Time) int {
--- a/core/wqverdict/baseline.go
+++ b/core/wqverdict/baseline.go
@@ -6,11 +6,11 @@
 )
 
 // baseline holds the decayed counts of the old side on one route. The long window gives
-// the usual state, the short one shows a fault of the moment.
+// the usual state, the short one and the latest evaluation show a fault of the moment.
 type baseline struct {
-	long, short [kindCount]proportion
-	latency     [BucketCount]float64
-	answers     float64
+	long, short, latest [kindCount]proportion
+	latency             [BucketCount]float64
+	answers             float64
 }
 
 // proportion is a decayed count of bad responses among all.
@@ -34,6 +34,7 @@
 	for i := range kindCount {
 		b.long[i].scale(slow)
 		b.short[i].scale(fast)
+		b.latest[i] = proportion{}
 	}
 	if latencyFrozen {
 		return
@@ -51,33 +52,38 @@
 			b.answers += float64(n)
 		}
 	}
+	b.addCounts(r, b)
+}
+
+// addCounts adds the responses of a row whose usual latency is that of usual.
+func (b *baseline) addCounts(r *Row, usual *baseline) {
 	complete := float64(r.Answered + r.Failed)
 	b.count(failures, float64(r.Failed), complete)
 	b.count(losses, float64(r.Lost), complete+float64(r.Lost))
-	if limit, ok := b.slowLimit(r.Far); ok {
+	if limit, ok := usual.slowLimit(r.Far); ok {
 		slow, total := slowCount(r, limit)
 		b.count(slowness, slow, total)
 	}
 }
 
 func (b *baseline) count(kind int, bad, all float64) {
-	b.long[kind].bad, b.long[kind].all = b.long[kind].bad+bad, b.long[kind].all+all
-	b.short[kind].bad, b.short[kind].all = b.short[kind].bad+bad, b.short[kind].all+all
+	for _, p := range []*proportion{&b.long[kind], &b.short[kind], &b.latest[kind]} {
+		p.bad, p.all = p.bad+bad, p.all+all
+	}
 }
 
 // share returns the share of bad responses to expect without a fault of the version.
 func (b *baseline) share(kind int) float64 {
-	p := max(b.long[kind].estimate(floor[kind]), b.short[kind].estimate(floor[kind]), floor[kind])
+	p := max(b.long[kind].estimate(floor[kind]), b.short[kind].estimate(floor[kind]))
+	if b.latest[kind].all > 0 {
+		p = max(p, b.latest[kind].estimate(floor[kind]))
+	}
 	return min(p, 0.9)
 }
 
 // slowLimit returns the latency from which an answer is slow, and false while the usual
 // latency is unknown.
 func (b *baseline) slowLimit(far bool) (time.Duration, bool) {
-	margin := nearMargin
-	if far {
-		margin = farMargin
-	}
 	if b.answers < minMedianFrom {
 		return 0, false
 	}
@@ -86,7 +92,11 @@
 		seen += n
 		if seen >= b.answers/2 {
 			median := float64(firstBucket) * math.Exp2((float64(i)+0.5)/bucketsPerDoubling)
-			return time.Duration(slowFactor*median) + margin, true
+			way := 0.0
+			if far {
+				way = min(float64(farTime), median/2)
+			}
+			return time.Duration(slowFactor*(median-way)+way) + slowMargin, true
 		}
 	}
 	return 0, false
--- a/core/wqverdict/verdict.go
+++ b/core/wqverdict/verdict.go
@@ -20,6 +20,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,16 +41,18 @@
 	Threshold = 8.0
 	// lossThreshold is higher since the network loses responses as well.
 	lossThreshold = 12.0
-	// suspectSum is the sum from which a single searcher counts as affected.
-	suspectSum = 1.5
+	// suspectSum is the sum from which a single searcher counts as affected, and a quarter
+	// of the highest sum of a searcher.
+	suspectSum = 1
 	// clearResponses is the number of responses of an unaffected searcher from which it
 	// speaks for the version.
 	clearResponses = 15
-	// slowFactor is how many times the median of the old side a slow answer takes: three
-	// times slower versions exceed it, and a spread of 0.5 (lognormal) does in 1 of 30.
-	slowFactor = 2.5
-	nearMargin = 3 * time.Millisecond // nearMargin covers pauses of the sender on short routes.
-	farMargin  = 9 * time.Millisecond // farMargin covers a new connection to another availability zone too.
+	// slowFactor is how many times the median of the old side a slow answer takes. Buckets
+	// are 1.19 wide, so up to 2.6 times counts as usual; with a spread of 0.4 (lognormal)
+	// 1 in 40 usual answers is slow, and most of those that are three times slower.
+	slowFactor = 2.2
+	slowMargin = 2 * time.Millisecond // slowMargin covers pauses of the sender on short routes.
+	farTime    = 7 * time.Millisecond // farTime is the part of the median that is the way to another availability zone and back.
 
 	longHalfLife  = 15 * time.Second
 	shortHalfLife = 2 * time.Second
@@ -78,6 +81,7 @@
 	LatencyFrozen bool
 
 	baselines map[routeKey]*baseline
+	pooled    baseline // pooled holds the shares of all routes; its latency is not used.
 	all       sums
 	routes    map[string]*sums
 	searchers map[string]*searcherSums
@@ -137,6 +141,12 @@
 // addOld updates the baselines with the responses of the old side.
 func (t *Test) addOld(elapsed time.Duration, rows []Row) {
 	seen := make(map[routeKey]bool)
+	for _, b := range t.baselines {
+		b.latest = [kindCount]proportion{}
+	}
+	if slices.ContainsFunc(rows, func(r Row) bool { return !r.New }) {
+		t.pooled.decay(elapsed, true)
+	}
 	for i := range rows {
 		r := &rows[i]
 		if r.New {
@@ -149,6 +159,7 @@
 			b.decay(elapsed, t.LatencyFrozen)
 		}
 		b.add(r, t.LatencyFrozen)
+		t.pooled.addCounts(r, b)
 	}
 }
 
@@ -160,15 +171,21 @@
 	}
 	complete := float64(r.Answered + r.Failed)
 	var s sums
-	s[failures] = logRatio(failures, float64(r.Failed), complete, b.share(failures))
-	s[losses] = logRatio(losses, float64(r.Lost), complete+float64(r.Lost), b.share(losses))
+	s[failures] = logRatio(failures, float64(r.Failed), complete, t.share(b, failures))
+	s[losses] = logRatio(losses, float64(r.Lost), complete+float64(r.Lost), t.share(b, losses))
 	if limit, ok := b.slowLimit(r.Far); ok {
 		slow, total := slowCount(r, limit)
-		s[slowness] = logRatio(slowness, slow, total, b.share(slowness))
+		s[slowness] = logRatio(slowness, slow, total, t.share(b, slowness))
 	}
 	return s
 }
 
+// share returns the share of bad responses that has nothing to do with the version: that
+// of the old side on the same route, or on all routes if that is higher.
+func (t *Test) share(b *baseline, kind int) float64 {
+	return max(b.share(kind), t.pooled.share(kind))
+}
+
 // otherDistance returns the baseline of the route's searchers at the other distance, an
 // empty one if there is none.
 func (t *Test) otherDistance(r *Row) *baseline {
@@ -210,10 +227,14 @@
 // limitedToSearcher reports whether one searcher alone is affected while others of the
 // version have responded well: that is a fault of its machine or of its network.
 func (t *Test) limitedToSearcher(kind int) bool {
+	highest := 0.0
+	for _, s := range t.searchers {
+		highest = max(highest, s.sums[kind])
+	}
 	suspects, clear := 0, 0
 	for _, s := range t.searchers {
 		switch {
-		case s.sums[kind] >= suspectSum:
+		case s.sums[kind] >= max(suspectSum, highest/4):
 			suspects++
 		case s.responses >= clearResponses:
 			clear++
--- a/io/wqcontroller/controller.go
+++ b/io/wqcontroller/controller.go
@@ -32,6 +32,7 @@
 	"wisteriaquay/core/wqmirror"
 	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqroute"
+	"wisteriaquay/core/wqtime"
 	"wisteriaquay/io/wqeventloop"
 )
 
@@ -49,6 +50,7 @@
 	heartbeat     *heartbeatEvent
 	seeds         []string
 	stop          bool
+	rollout       *rolloutEvent
 }
 
 // batchRequest requests the items that changed after a store revision.
@@ -64,6 +66,7 @@
 	Peers         PeerTransport
 	JoinDelay     time.Duration        // JoinDelay is the time from New until this VM takes the roles of store watcher and hub.
 	BeforePublish func(p *wqplan.Plan) // BeforePublish is called on the control goroutine with each new plan before Plan returns it.
+	Rollouts      Rollouts             // Rollouts connects the rollouts of searcher versions.
 	AfterPublish  func()               // AfterPublish is called on the control goroutine once Plan returns a new plan.
 	Log           *slog.Logger
 
@@ -92,6 +95,8 @@
 	confirmedBy    string    // confirmedBy is the source of the latest batch, with or without changes.
 	confirmedAt    time.Time // confirmedAt is when that batch arrived.
 	stopping       bool
+	rollouts       map[string]*rolloutState // rollouts holds the state by service.
+	coordination   coordination
 	dirty          bool      // dirty is true when the state has changed since the last plan.
 	nextPoolChange time.Time // nextPoolChange is when the pools change without an event; zero means never.
 }
@@ -109,6 +114,7 @@
 		Log:           slog.New(slog.DiscardHandler),
 		loop:          wqeventloop.New[message](inboxSize),
 		configured:    make(chan struct{}),
+		rollouts:      make(map[string]*rolloutState),
 		mirror:        wqmirror.New(),
 		directory:     wqdirectory.Directory{GracePeriod: gracePeriod},
 		zonesOut:      make(map[string]bool),
@@ -189,6 +195,8 @@
 		c.handleHeartbeat(now, m.heartbeat)
 	case m.seeds != nil:
 		c.setSeeds(now, m.seeds)
+	case m.rollout != nil:
+		c.handleRolloutEvent(now, m.rollout)
 	case m.stop:
 		c.stopping, c.dirty = true, true
 		c.members.Leave(now)
@@ -198,7 +206,7 @@
 // tick runs the timers that have expired, publishes a plan after a change and
 // returns the time of its next call.
 func (c *Controller) tick(now time.Time) time.Time {
-	next := c.tickMembers(now)
+	next := wqtime.Earlier(c.tickMembers(now), c.tickRollouts(now))
 	if c.dirty || !c.nextPoolChange.IsZero() && !now.Before(c.nextPoolChange) {
 		c.publish(now)
 	}
@@ -215,6 +223,7 @@
 		Table: c.table, Pools: pools, FleetSize: max(c.fleetSize, 1), Stopping: c.stopping, StoreRevision: c.mirror.StoreRevision(),
 		Hubs: c.hubs, IsHub: c.isHub, ConfirmedBy: c.confirmedBy, ConfirmedAt: c.confirmedAt,
 	}
+	plan.Rollouts = c.publishRollouts(now, pools)
 	c.BeforePublish(plan)
 	c.plan.Store(plan)
 	c.AfterPublish()
@@ -227,6 +236,7 @@
 // mergeBatch merges a batch into the mirror and applies the items that changed.
 func (c *Controller) mergeBatch(now time.Time, b wqmirror.Batch) {
 	c.confirmedBy, c.confirmedAt = b.Source, now
+	c.coordination.syncedTo = c.mirror.StoreRevision()
 	changes := c.mirror.Merge(now, b)
 	for _, i := range changes {
 		c.apply(now, i, c.decodeRecovering(i))
@@ -265,6 +275,8 @@
 	case wqchange.InvalidRegistration:
 		c.directory.DropInvalid(change.SearcherID)
 		c.Log.Warn("registration can't be used", "searcher", change.SearcherID, "revision", i.Revision, "fault", change.Problem)
+	case wqchange.RolloutOrdered, wqchange.RolloutWithdrawn, wqchange.RolloutStatus:
+		c.applyRollout(now, i, &change)
 	case wqchange.InvalidItem:
 		c.Log.Warn("item can't be read", "key", i.Key, "revision", i.Revision, "fault", change.Problem)
 	case wqchange.Ignored:
@@ -294,5 +306,6 @@
 		c.Log.Info("ignored an older registration", "searcher", r.ID, "born", r.Incarnation, "sequence", r.Sequence, "revision", i.Revision)
 		return
 	}
+	c.noteVersion(now, i.Age, &r)
 	c.Log.Debug("searcher", "searcher", r.ID, "service", r.Service, "draining", r.Draining, "cold_ms", r.ColdStartRemaining.Milliseconds(), "revision", i.Revision)
 }
--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -31,6 +31,7 @@
 	peers := wqpb.NewPeerServiceServer(peerService{h.Controller})
 	mux.Handle(peers.PathPrefix(), compress(http.MaxBytesHandler(peers, wqheartbeat.MaxBytes)))
 	mux.Handle("GET "+itemsPath, compress(http.HandlerFunc(h.serveItems)))
+	mux.HandleFunc("POST "+rolloutsPath, h.serveRollouts)
 	mux.HandleFunc("POST "+fanOutPath, h.serveFanOut)
 	mux.HandleFunc("GET "+fanOutPath, func(http.ResponseWriter, *http.Request) {}) // Answers pings.
 	return mux
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -120,6 +120,7 @@
 
 func (d *driver[S, P]) countSend(s wqgather.Send) {
 	d.sendCounts.All++
+	d.relay.countRolloutSend(s.Target)
 	if d.relay.Metrics != nil {
 		d.relay.Metrics.CountSend(s.Target.Searcher.Service)
 	}
@@ -141,6 +142,7 @@
 	now := time.Now()
 	result.Elapsed = now.Sub(start)
 	inFlight.Done(now, result.Outcome, d.latency.MeanLatency())
+	d.countRolloutEnd(now, start, s, &result)
 	switch result.Outcome {
 	case wqsend.Answered:
 		d.latency.Observe(now, result.Elapsed)
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"wisteriaquay/core/wqcall"
+	"wisteriaquay/core/wqcanary"
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqlatency"
@@ -63,6 +64,7 @@
 	Tracker         *wqselector.Tracker
 	Zone            string // Zone is the availability zone of this VM.
 	RetryQuota      *wqretryquota.Quota
+	Canary          *wqcanary.Meter             // Canary counts the sends of services with a rollout; nil for none.
 	OnWrongSearcher func(t *wqdirectory.Target) // OnWrongSearcher is called when another searcher answers at a target's address.
 	StartupWait     StartupWait
 	Placement       P
--- a/test/wqfakeplatform/store.go
+++ b/test/wqfakeplatform/store.go
@@ -44,6 +44,7 @@
 	hanging           bool
 	hangEpoch         int // Number of hangs so far; a watch that began before the latest one gets no answer.
 	calls             int
+	transactions      Transactions
 }
 
 // event is one change of an item, as listings and watches return it.
@@ -60,6 +61,8 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /kv-range", s.list)
 	m.HandleFunc("GET /kv-watch", s.watch)
+	m.HandleFunc("GET /kv-key", s.get)
+	m.HandleFunc("POST /kv-txn", s.transact)
 	server := httptest.NewServer(m)
 	s.URL = server.URL
 	return s, func() {
@@ -120,6 +123,10 @@
 func (s *Store) apply(e event) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.applyLocked(e)
+}
+
+func (s *Store) applyLocked(e event) {
 	s.revision++
 	e.Revision = s.revision
 	s.history = append(s.history, e)
