--- a/core/wqcanary/meter.go
+++ b/core/wqcanary/meter.go
@@ -1,7 +1,7 @@
 // Package wqcanary keeps the share of a new version of searchers in what one VM sends,
 // and counts the responses of both versions.
 //
-// A Meter earns credit of the directive's share with every send that has reached the
+// For each route, a Meter earns credit of the directive's share with every send that has reached the
 // service, and pays 1 for each send to the new version, which may use the credit that it
 // will earn itself. The credit starts at a random
 // value from 0 to 1, so that the sum over many VMs with few requests each has the right
@@ -14,7 +14,7 @@
 //
 //	m := &wqcanary.Meter{Random: rand.Float64}
 //	m.SetDirectives(directives)
-//	m.Sent(target)
+//	m.Sent(target, "checkout")
 //	m.Ended(wqcanary.Outcome{Target: target, Route: "checkout", Result: outcome, Elapsed: elapsed})
 package wqcanary
 
@@ -34,6 +34,7 @@
 	// the new version had no searcher.
 	maxCredit  = 1.5
 	burstSends = 4
+	maxRoutes  = 64  // maxRoutes bounds the credits for one service.
 	maxRows    = 512 // maxRows bounds the memory for one service; the responses of further routes are not compared.
 	// maxFailuresInARow is the number of failures of the new version in a row after which
 	// this VM stops using it for localStop, without waiting for the coordinator.
@@ -53,7 +54,7 @@
 // service is the state of one rollout.
 type service struct {
 	directive    wqrollout.Directive
-	credit       float64
+	credits      map[string]*float64 // credits holds the credit by route.
 	rows         map[wqverdict.Key]*wqverdict.Row
 	sentNew      uint64
 	sentOld      uint64
@@ -82,7 +83,7 @@
 		d := directives[name]
 		s := m.services[name]
 		if s == nil || s.directive.OrderRevision != d.OrderRevision || s.directive.Version != d.Version {
-			s = &service{credit: m.Random(), rows: make(map[wqverdict.Key]*wqverdict.Row)}
+			s = &service{credits: make(map[string]*float64), rows: make(map[wqverdict.Key]*wqverdict.Row)}
 		}
 		s.directive = d
 		services[name] = s
@@ -91,17 +92,33 @@
 	m.active.Store(int32(min(len(services), 1<<20)))
 }
 
-// HasCredit reports whether the next send to a service may go to the new version.
-func (m *Meter) HasCredit(now time.Time, name string) bool {
+// HasCredit reports whether the next send of a route to a service may go to the new
+// version.
+func (m *Meter) HasCredit(now time.Time, name, route string) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	s := m.services[name]
-	return s != nil && s.credit+s.directive.Share >= 1 && !now.Before(s.stoppedUntil)
+	return s != nil && !now.Before(s.stoppedUntil) && *m.credit(s, route)+s.directive.RouteShare(route) >= 1
+}
+
+// credit returns the credit of a route. Routes beyond maxRoutes have one together.
+func (m *Meter) credit(s *service, route string) *float64 {
+	c := s.credits[route]
+	if c == nil && len(s.credits) >= maxRoutes {
+		route = ""
+		c = s.credits[route]
+	}
+	if c == nil {
+		c = new(float64)
+		*c = m.Random()
+		s.credits[route] = c
+	}
+	return c
 }
 
 // Sent counts the start of a send. The credit may fall below 0 when requests choose at
 // the same moment; it is earned again before the next one.
-func (m *Meter) Sent(t *wqdirectory.Target) {
+func (m *Meter) Sent(t *wqdirectory.Target, route string) {
 	if m.active.Load() == 0 {
 		return
 	}
@@ -113,7 +130,7 @@
 	case t.Version == s.directive.Version:
 		s.sentNew++
 		if s.directive.Phase == wqrollout.Running {
-			s.credit--
+			*m.credit(s, route)--
 		}
 	default:
 		s.sentOld++
@@ -136,27 +153,26 @@
 	if !isNew {
 		s.oldInFlight = max(0, s.oldInFlight-1)
 	}
-	s.settle(isNew, o.Result)
+	s.settle(m.credit(s, o.Route), o.Route, isNew, o.Result)
 	s.countFailure(now, isNew, o.Result)
 	s.count(isNew, &o)
 }
 
 // settle books the credit of a send. One that was certainly not sent is given back.
-func (s *service) settle(isNew bool, o wqsend.Outcome) {
+func (s *service) settle(credit *float64, route string, isNew bool, o wqsend.Outcome) {
+	limit := maxCredit + burstSends*s.directive.RouteShare(route)
 	switch {
 	case s.directive.Phase != wqrollout.Running:
 	case o.MayHaveRun():
-		s.credit = min(s.credit+s.directive.Share, s.maxCredit())
+		*credit = min(*credit+s.directive.RouteShare(route), limit)
 	case isNew && (o == wqsend.Unreachable || o == wqsend.Withheld):
-		s.credit = min(s.credit+1, s.maxCredit())
+		*credit = min(*credit+1, limit)
 	}
 	if isNew && (o == wqsend.Unreachable || o == wqsend.Withheld) && s.sentNew > 0 {
 		s.sentNew--
 	}
 }
 
-func (s *service) maxCredit() float64 { return maxCredit + burstSends*s.directive.Share }
-
 // countFailure stops the use of the new version on this VM after many failures.
 func (s *service) countFailure(now time.Time, isNew bool, o wqsend.Outcome) {
 	switch {
--- a/core/wqcanary/picker.go
+++ b/core/wqcanary/picker.go
@@ -13,6 +13,7 @@
 type Picker[P wqgather.Picker] struct {
 	Inner      P
 	Meter      *Meter
+	Route      string // Route is the name of the request's route.
 	Directives func() wqrollout.Directives
 }
 
@@ -36,7 +37,7 @@
 		}
 	case d.Phase == wqrollout.Held && len(oldTargets) == 0:
 		first = newTargets
-	case d.AllowsNew(now) && p.Meter.HasCredit(now, d.Service):
+	case d.AllowsNew(now) && p.Meter.HasCredit(now, d.Service, p.Route):
 		first, second = newTargets, oldTargets
 	}
 	if t := p.Inner.Pick(now, first, tried, meanLatency, random); t != nil || len(second) == 0 {
--- a/core/wqrollout/order.go
+++ b/core/wqrollout/order.go
@@ -50,14 +50,17 @@
 
 // Directive is what traffic does about one rollout.
 type Directive struct {
-	Service       string    `json:"service"`
-	Version       string    `json:"version"` // Version is the new version.
-	OrderRevision uint64    `json:"order_revision"`
-	Phase         Phase     `json:"phase"`
-	Share         float64   `json:"share"`            // Share is the part of the sends that the new version gets while Running.
-	Step          int       `json:"step,omitempty"`   // Step counts the steps of the share; see Report.Step.
-	Reason        string    `json:"reason,omitempty"` // Reason is why the version is rolled back.
-	ValidUntil    time.Time `json:"-"`                // ValidUntil is when a VM that hears nothing more stops using the new version.
+	Service       string  `json:"service"`
+	Version       string  `json:"version"` // Version is the new version.
+	OrderRevision uint64  `json:"order_revision"`
+	Phase         Phase   `json:"phase"`
+	Share         float64 `json:"share"` // Share is the part of the sends that the new version gets while Running.
+	// Weights holds the factor on Share for each route. Rare routes have a higher one, so
+	// that there is evidence on them too. The mean over all sends is 1; missing routes have 1.
+	Weights    map[string]float64 `json:"weights,omitempty"`
+	Step       int                `json:"step,omitempty"`   // Step counts the steps of the share; see Report.Step.
+	Reason     string             `json:"reason,omitempty"` // Reason is why the version is rolled back.
+	ValidUntil time.Time          `json:"-"`                // ValidUntil is when a VM that hears nothing more stops using the new version.
 }
 
 // Message is what two VMs send each other about rollouts: reports to the coordinator, and
@@ -69,6 +72,14 @@
 	StoreUnreachable bool        `json:"store_unreachable,omitempty"` // StoreUnreachable is true if the sender can't write a status, so that another VM should coordinate.
 }
 
+// RouteShare returns the share of the new version on a route.
+func (d *Directive) RouteShare(route string) float64 {
+	if w, ok := d.Weights[route]; ok {
+		return min(d.Share*w, 1)
+	}
+	return d.Share
+}
+
 // AllowsNew reports whether the new version may get any request.
 func (d *Directive) AllowsNew(now time.Time) bool {
 	switch d.Phase {
--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -45,6 +45,9 @@
 	minReporting   = 0.6  // minReporting is the part of the VMs with traffic that must have reported lately.
 	freshFor       = 1800 * time.Millisecond
 	forgetAfter    = 10 * time.Second // forgetAfter is the time without a report after which a VM counts as gone.
+	minForWeights  = 20               // minForWeights is the number of responses from which the routes are weighted.
+	maxWeight      = 4.0              // maxWeight bounds the weight of a route, and its inverse.
+	maxRoutes      = 256              // maxRoutes bounds the memory for weights.
 	rateHalfLife   = 4 * time.Second
 	stepTime       = 1500 * time.Millisecond // stepTime lets evidence of a step arrive before the next.
 	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
@@ -65,22 +68,23 @@
 	FleetSize int  // FleetSize is the number of VMs that send to the service, with those that are not reached.
 	Recovered bool // Recovered is true while no VM knows the time of the order.
 
-	phase     Phase
-	share     float64
-	reason    string
-	moved     bool      // moved is true once nothing keeps the rollout from being completed.
-	firstSeen time.Time // firstSeen is the time of the order as far as it is known.
-	createdAt time.Time
-	step      int // step counts the steps begun, 0 before the first.
-	stepAt    time.Time
-	vms       map[string]*vmState
-	test      *wqverdict.Test
-	pending   []wqverdict.Row
-	sentNew   uint64
-	sentOld   uint64
-	rate      float64 // rate is the moving average of sends a second.
-	countedAt time.Time
-	counted   uint64
+	phase      Phase
+	share      float64
+	reason     string
+	moved      bool      // moved is true once nothing keeps the rollout from being completed.
+	firstSeen  time.Time // firstSeen is the time of the order as far as it is known.
+	createdAt  time.Time
+	step       int // step counts the steps begun, 0 before the first.
+	stepAt     time.Time
+	vms        map[string]*vmState
+	test       *wqverdict.Test
+	pending    []wqverdict.Row
+	routeSends map[string]float64 // routeSends counts the responses of the old version.
+	sentNew    uint64
+	sentOld    uint64
+	rate       float64 // rate is the moving average of sends a second.
+	countedAt  time.Time
+	counted    uint64
 }
 
 // vmState is the latest report of one process.
@@ -101,7 +105,7 @@
 	}
 	return &Rollout{
 		Order: o, Limits: limits, Recovered: true, phase: Running, firstSeen: now, createdAt: now, countedAt: now,
-		vms: make(map[string]*vmState), test: wqverdict.New(), share: runningShare * limits.Share,
+		vms: make(map[string]*vmState), routeSends: make(map[string]float64), test: wqverdict.New(), share: runningShare * limits.Share,
 	}
 }
 
@@ -128,10 +132,37 @@
 
 // Directive returns what the VMs have to do; its ValidUntil is not set.
 func (r *Rollout) Directive() Directive {
-	return Directive{
+	d := Directive{
 		Service: r.Order.Service, Version: r.Order.Version, OrderRevision: r.Order.Revision,
 		Phase: r.phase, Share: r.share, Step: r.step, Reason: r.reason,
 	}
+	if r.phase == Running && r.step == 0 {
+		d.Weights = r.weights()
+	}
+	return d
+}
+
+// weights returns factors on the share with which all routes get about the same number of
+// requests to the new version. Their mean over the requests of the old version is 1.
+func (r *Rollout) weights() map[string]float64 {
+	total := 0.0
+	for _, n := range r.routeSends {
+		total += n
+	}
+	if len(r.routeSends) < 2 || total < minForWeights {
+		return nil
+	}
+	weights := make(map[string]float64, len(r.routeSends))
+	mean := 0.0
+	for name, n := range r.routeSends {
+		w := min(max(total/(n+1)/float64(len(r.routeSends)), 1/maxWeight), maxWeight)
+		weights[name] = w
+		mean += w * n / total
+	}
+	for name := range weights {
+		weights[name] /= mean
+	}
+	return weights
 }
 
 // RollBack gives the version up.
@@ -166,7 +197,11 @@
 	for i := range report.Rows {
 		row := &report.Rows[i]
 		before := v.rows[row.Key()]
-		r.pending = append(r.pending, row.Since(&before))
+		growth := row.Since(&before)
+		r.pending = append(r.pending, growth)
+		if !row.New && (len(r.routeSends) < maxRoutes || r.routeSends[row.Route] > 0) {
+			r.routeSends[row.Route] += float64(growth.Answered + growth.Failed + growth.Lost)
+		}
 		v.rows[row.Key()] = *row
 	}
 	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
@@ -183,6 +218,14 @@
 	r.step, r.share, r.stepAt = step, steps[step-1], now
 }
 
+// Resume makes all reports count as old, after a time in which the coordinator did not run:
+// those that arrived since then may have waited.
+func (r *Rollout) Resume() {
+	for _, v := range r.vms {
+		v.reportedAt = time.Time{}
+	}
+}
+
 // Tick evaluates the evidence and takes the steps that are due.
 func (r *Rollout) Tick(now time.Time) {
 	r.updateRate(now)
--- a/core/wqverdict/baseline.go
+++ b/core/wqverdict/baseline.go
@@ -19,12 +19,12 @@
 func (p *proportion) scale(f float64) { p.bad, p.all = p.bad*f, p.all*f }
 
 // estimate returns the share of bad responses, drawn to floor while there are few, plus
-// one standard deviation.
+// half a standard deviation.
 func (p *proportion) estimate(floor float64) float64 {
 	const priorWeight = 10
 	n := p.all + priorWeight
 	share := (p.bad + floor*priorWeight) / n
-	return share + math.Sqrt(share*(1-share)/n)
+	return share + 0.5*math.Sqrt(share*(1-share)/n)
 }
 
 // decay ages the counts. A baseline without new responses stays as it is, since the old
--- a/core/wqverdict/verdict.go
+++ b/core/wqverdict/verdict.go
@@ -37,8 +37,8 @@
 const (
 	// Threshold is the sum of log-likelihood ratios at which a version counts as bad. By
 	// Wald's bound, a start of the sum at zero leads to a false verdict with a
-	// probability under exp(-Threshold), 1 in 3,000 for each kind and route.
-	Threshold = 8.0
+	// probability under exp(-Threshold), 1 in 1,000 for each kind and route.
+	Threshold = 7.0
 	// lossThreshold is higher since the network loses responses as well.
 	lossThreshold = 12.0
 	// suspectSum is the sum from which a single searcher counts as affected, and a quarter
@@ -46,7 +46,7 @@
 	suspectSum = 1
 	// clearResponses is the number of responses of an unaffected searcher from which it
 	// speaks for the version.
-	clearResponses = 15
+	clearResponses = 8
 	// slowFactor is how many times the median of the old side a slow answer takes. Buckets
 	// are 1.19 wide, so up to 2.6 times counts as usual; with a spread of 0.4 (lognormal)
 	// 1 in 40 usual answers is slow, and most of those that are three times slower.
@@ -54,9 +54,9 @@
 	slowMargin = 2 * time.Millisecond // slowMargin covers pauses of the sender on short routes.
 	farTime    = 7 * time.Millisecond // farTime is the part of the median that is the way to another availability zone and back.
 
-	longHalfLife  = 15 * time.Second
+	longHalfLife  = 30 * time.Second
 	shortHalfLife = 2 * time.Second
-	minMedianFrom = 12 // minMedianFrom is the number of old answers from which their median is used.
+	minMedianFrom = 5  // minMedianFrom is the number of old answers from which their median is used.
 	maxSum        = 40 // maxSum bounds the sums.
 )
 
--- a/io/wqcontroller/coordination.go
+++ b/io/wqcontroller/coordination.go
@@ -19,7 +19,8 @@
 	maxFailedWrites  = 2 // maxFailedWrites is the number of failed writes in a row after which a coordinator asks for another one.
 	writeInterval    = 400 * time.Millisecond
 	writeTimeout     = 2 * time.Second
-	pushTimes        = 3 // pushTimes is how often a verdict is sent to all VMs, as calls may be lost.
+	frozenAfter      = time.Second // frozenAfter is the delay of a tick from which this VM counts as having been frozen.
+	pushTimes        = 3           // pushTimes is how often a verdict is sent to all VMs, as calls may be lost.
 )
 
 // coordination is this VM's part in the exchange of reports.
@@ -166,6 +167,7 @@
 	if now.Before(c.coordination.tickAt) {
 		return c.coordination.tickAt
 	}
+	c.resume(now)
 	c.coordination.tickAt = now.Add(rolloutTick)
 	c.exchangeReports(now)
 	for _, s := range c.rollouts {
@@ -178,6 +180,18 @@
 	return c.coordination.tickAt
 }
 
+// resume makes a coordinator that was frozen wait for new reports.
+func (c *Controller) resume(now time.Time) {
+	if c.coordination.tickAt.IsZero() || now.Sub(c.coordination.tickAt) < frozenAfter {
+		return
+	}
+	for _, s := range c.rollouts {
+		if s.rollout != nil {
+			s.rollout.Resume()
+		}
+	}
+}
+
 // hasOpenOrder reports whether an order has no verdict in the store.
 func (c *Controller) hasOpenOrder() bool {
 	for _, s := range c.rollouts {
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -120,7 +120,7 @@
 
 func (d *driver[S, P]) countSend(s wqgather.Send) {
 	d.sendCounts.All++
-	d.relay.countRolloutSend(s.Target)
+	d.relay.countRolloutSend(s.Target, d.gather.Route.Name)
 	if d.relay.Metrics != nil {
 		d.relay.Metrics.CountSend(s.Target.Searcher.Service)
 	}
--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -39,8 +39,8 @@
 }
 
 // countRolloutSend passes the start of a send to the rollout of its service.
-func (r *Relay[S, P]) countRolloutSend(t *wqdirectory.Target) {
+func (r *Relay[S, P]) countRolloutSend(t *wqdirectory.Target, route string) {
 	if r.Canary != nil {
-		r.Canary.Sent(t)
+		r.Canary.Sent(t, route)
 	}
 }
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -190,6 +190,7 @@
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
 	}
+	d.gather.Picker.Route = route.Name
 	if r.SendsEnded() {
 		d.gather.LastSendAt = time.Now()
 	}
