--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -121,6 +121,7 @@
 
 func (d *driver[S, P]) countSend(s wqgather.Send) {
 	d.sendCounts.All++
+	d.relay.countRolloutSend(s.Target, d.gather.Route.Name)
 	if d.relay.Metrics != nil {
 		d.relay.Metrics.CountSend(s.Target.Searcher.Service)
 	}
@@ -142,6 +143,7 @@
 	now := time.Now()
 	result.Elapsed = now.Sub(start)
 	inFlight.Done(now, result.Outcome, d.latency.MeanLatency())
+	d.countRolloutEnd(now, start, s, &result)
 	switch result.Outcome {
 	case wqsend.Answered:
 		d.latency.Observe(now, result.Elapsed)
--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -1,19 +1,50 @@
 package wqrelay
 
 import (
+	"time"
+
+	"wisteriaquay/core/wqcanary"
+	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqexclusion"
+	"wisteriaquay/core/wqgather"
+	"wisteriaquay/core/wqrollout"
 	"wisteriaquay/core/wqselector"
+	"wisteriaquay/core/wqsend"
 )
 
 // searcherPicker is the policy that chooses the searcher of each send. Policies that
 // restrict the choice wrap the one that makes it.
-type searcherPicker = wqexclusion.Picker[wqselector.LeastLatency]
+type searcherPicker = wqcanary.Picker[wqexclusion.Picker[wqselector.LeastLatency]]
 
 // newPicker returns the policy for one request. SenderCount is the number of VMs that
 // send to the same searchers.
 func (r *Relay[S, P]) newPicker(senderCount int) searcherPicker {
 	return searcherPicker{
-		Inner:      wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount},
-		Statements: r.Statements,
+		Inner: wqexclusion.Picker[wqselector.LeastLatency]{
+			Inner:      wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount},
+			Statements: r.Statements,
+		},
+		Meter: r.Canary, Directives: r.directives,
+	}
+}
+
+// directives returns the rollouts of the plan in force.
+func (r *Relay[S, P]) directives() wqrollout.Directives { return r.Plan().Rollouts }
+
+// countRolloutEnd passes the end of a send to the rollout of its service, if there is one.
+func (d *driver[S, P]) countRolloutEnd(now, start time.Time, s wqgather.Send, r *wqsend.Result) {
+	if d.relay.Canary == nil {
+		return
+	}
+	d.relay.Canary.Ended(now, wqcanary.Outcome{
+		Target: s.Target, Route: d.gather.Route.Name, Far: s.Target.Searcher.Zone != d.relay.Zone,
+		Cold: start.Before(s.Target.ColdStartEnd), Result: r.Outcome, Elapsed: r.Elapsed,
+	})
+}
+
+// countRolloutSend passes the start of a send to the rollout of its service.
+func (r *Relay[S, P]) countRolloutSend(t *wqdirectory.Target, route string) {
+	if r.Canary != nil {
+		r.Canary.Sent(t, route)
 	}
 }
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"wisteriaquay/core/wqcall"
+	"wisteriaquay/core/wqcanary"
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqlatency"
@@ -66,6 +67,7 @@
 	Statements      *wqstatement.Tracker // Statements holds what searchers report about themselves; nil ignores it.
 	Zone            string               // Zone is the availability zone of this VM.
 	RetryQuota      *wqretryquota.Quota
+	Canary          *wqcanary.Meter             // Canary counts the sends of services with a rollout; nil for none.
 	OnWrongSearcher func(t *wqdirectory.Target) // OnWrongSearcher is called when another searcher answers at a target's address.
 	StartupWait     StartupWait
 	Placement       P
@@ -195,6 +197,7 @@
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
 	}
+	d.gather.Picker.Route = route.Name
 	if r.SendsEnded() {
 		d.gather.LastSendAt = time.Now()
 	}
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -33,8 +33,9 @@
 
 // Options set the size of a fleet.
 type Options struct {
-	VMs    int
-	Shards int // Shards is the number of shards of the fan-out route, each with one searcher in zone a and one in zone b.
+	VMs      int
+	Rollouts bool // Rollouts adds the bounds of rollouts to the settings.
+	Shards   int  // Shards is the number of shards of the fan-out route, each with one searcher in zone a and one in zone b.
 
 	MemoryMegabytes int // MemoryMegabytes is the memory of a VM that its settings state, in 10^6 bytes; 0 means MemoryLimit.
 	MaxDescriptors  int // MaxDescriptors is the number of descriptors that the settings of a VM state; 0 states none.
@@ -102,6 +103,11 @@
 // AddSearcher starts a searcher behind a proxy and registers it as ready.
 func (f *Fleet) AddSearcher(service, zone string) *Searcher {
 	s := newSearcher(fmt.Sprintf("i-%s-%d", service, f.sequence.Add(1)), service, zone)
+	return f.register(s)
+}
+
+// register puts a new searcher behind a proxy and registers it as ready.
+func (f *Fleet) register(s *Searcher) *Searcher {
 	f.t.Cleanup(s.server.Close)
 	proxy, release := wqproxy.New(f.t, s.Address)
 	f.t.Cleanup(release)
@@ -126,7 +132,7 @@
 		Warmup  float64 `json:"warmupLeftMs"`
 		Seq     int     `json:"seq"`
 		Born    int64   `json:"born"`
-	}{s.Service, s.Address, s.Zone, "v1", 8, state, 0, sequence, s.StartMillis})
+	}{s.Service, s.Address, s.Zone, s.Version, 8, state, 0, sequence, s.StartMillis})
 }
 
 // SearchersOf returns the searchers of a service in the order of their start.
@@ -175,6 +181,9 @@
 		limits += fmt.Sprintf("\nmaxFds = %d", o.MaxDescriptors)
 	}
 	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.metricsPort(), vm.CallerAddress, vm.ReadinessAddress, vm.PeerAddress, shutdownGraceSeconds, limits, proxy.Address())
+	if o.Rollouts {
+		settings = strings.Replace(settings, "[bounds]\n", "[bounds]\n"+rolloutSettings, 1)
+	}
 	must.NoError(f.t, os.WriteFile(vm.settingsPath, []byte(settings), 0o600))
 	f.VMs = append(f.VMs, vm)
 	vm.Start()
