--- a/cmd/wisteriaquay/cmd_host.go
+++ b/cmd/wisteriaquay/cmd_host.go
@@ -12,6 +12,9 @@
 	"wisteriaquay/platform/wqboot"
 )
 
+// placementCost is the value of --placement that places requests by cost.
+const placementCost = "cost"
+
 // cmdHost runs an entry VM on the users' platform until SIGTERM or an interrupt.
 var cmdHost = &command{
 	Name: "host",
@@ -21,6 +24,7 @@
 			SettingsPath string `long:"settings" env:"WISTERIAQUAY_CONFIG" description:"path of the platform's settings file" required:"yes"`
 			MetricsPort  int    `long:"metrics-port" env:"WISTERIAQUAY_METRICS_PORT" description:"port for metrics, one of the VM's internal ports; 0 serves none"`
 			LogPerSecond int    `long:"log-per-second" env:"WISTERIAQUAY_LOG_PER_SECOND" description:"maximum log lines per second" default:"40"`
+			Placement    string `long:"placement" env:"WISTERIAQUAY_PLACEMENT" description:"how the searcher of a request is chosen: by the latency of earlier requests, or by the likely cost of the request and the work that each searcher still has to do" choice:"latency" choice:"cost" default:"latency"`
 		}
 		if _, err := parseOptions(&options, "host", args, 0); err != nil {
 			return err
@@ -34,7 +38,7 @@
 		reloadSignals := make(chan os.Signal, 1)
 		signal.Notify(reloadSignals, syscall.SIGHUP)
 		defer signal.Stop(reloadSignals)
-		h := &wqhost.Host{Settings: s, SettingsPath: options.SettingsPath, ReloadSignals: reloadSignals, MetricsPort: options.MetricsPort, Log: log}
+		h := &wqhost.Host{Settings: s, SettingsPath: options.SettingsPath, ReloadSignals: reloadSignals, MetricsPort: options.MetricsPort, PlaceByCost: options.Placement == placementCost, Log: log}
 		return h.Run(ctx)
 	},
 }
--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -66,6 +66,7 @@
 	SettingsPath  string           // File that Settings came from; read again when it changes.
 	ReloadSignals <-chan os.Signal // Each signal makes the VM read the file again.
 	MetricsPort   int              // One of the InternalPorts; 0 serves no metrics.
+	PlaceByCost   bool             // Place requests by their likely cost instead of by latency.
 	Log           *slog.Logger
 
 	controller       *wqcontroller.Controller
@@ -105,6 +106,7 @@
 	h.controller.BeforePublish = h.setConnectionLimits
 	h.controller.AfterPublish = client.WithdrawWaiting
 	h.relay = h.newRelay(peers)
+	h.setPlacement()
 	h.addGauges()
 	h.callerServer = &wqhttp.Server{Handler: h.callerHandler(), Timeouts: h.callerTimeouts, Log: h.Log}
 
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -137,10 +137,12 @@
 	defer cancel()
 	start := time.Now()
 	inFlight := d.relay.Tracker.Start(start, s.Target.Searcher.ID)
+	work := d.startWork(start, s)
 	result := d.sendRecovering(ctx, s, d.gather.Deadline.Sub(start))
 	now := time.Now()
 	result.Elapsed = now.Sub(start)
 	inFlight.Done(now, result.Outcome, d.latency.MeanLatency())
+	work.done(now, result.Outcome)
 	switch result.Outcome {
 	case wqsend.Answered:
 		d.latency.Observe(now, result.Elapsed)
--- a/io/wqrelay/hub.go
+++ b/io/wqrelay/hub.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,7 +12,6 @@
 	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqretryafter"
 	"wisteriaquay/core/wqroute"
-	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 )
 
@@ -22,7 +20,7 @@
 
 const (
 	maxHubAttempts    = 2                      // hubs tried for one request
-	assumedHubLatency = 100 * time.Millisecond // mean latency of a fan-out, assumed when hubs are compared
+	assumedHubLatency = 100 * time.Millisecond // mean latency of a fan-out, assumed when hubs are compared by latency, and before there are observations
 )
 
 // HubClient sends requests to hubs, the VMs that run fan-outs for other VMs.
@@ -51,18 +49,18 @@
 	defer cancel()
 	hubCtx, release := r.stopping.withEnd(hubCtx)
 	defer release()
-	picker := wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone}
+	picker := r.newHubPicker(c, route)
 	var tried []string
 	for range maxHubAttempts {
-		hub := picker.Pick(time.Now(), candidates, tried, assumedHubLatency, rand.Uint64())
+		hub := picker.pick(candidates, tried)
 		if hub == nil {
-			hub = picker.Pick(time.Now(), r.preferOwnZone(plan.Hubs, tried), tried, assumedHubLatency, rand.Uint64())
+			hub = picker.pick(r.preferOwnZone(plan.Hubs, tried), tried)
 		}
 		if hub == nil {
 			break
 		}
 		tried = append(tried, hub.Searcher.ID)
-		if reply, ended := r.runOnHub(hubCtx, hub, c, route); ended {
+		if reply, ended := r.runOnHub(hubCtx, picker, hub, c, route); ended {
 			reply.Hub, reply.HubZone = hub.Searcher.ID, hub.Searcher.Zone
 			r.countFanOut(hub.Searcher.Zone)
 			return reply
@@ -91,19 +89,19 @@
 
 // runOnHub has a hub run a fan-out. It returns false if the hub has not started it,
 // and another VM may run it.
-func (r *Relay[S, P]) runOnHub(ctx context.Context, hub *wqdirectory.Target, c *wqcall.Call, route *wqroute.Route) (wqcall.Reply, bool) {
-	inFlight := r.Tracker.Start(time.Now(), hub.Searcher.ID)
+func (r *Relay[S, P]) runOnHub(ctx context.Context, picker hubPicker, hub *wqdirectory.Target, c *wqcall.Call, route *wqroute.Route) (wqcall.Reply, bool) {
+	done := picker.start(r.Tracker, hub)
 	reply, err := r.HubClient.FanOut(ctx, hub, c, route)
 	if err == nil {
-		inFlight.Done(time.Now(), wqsend.Answered, assumedHubLatency)
+		done(wqsend.Answered)
 		return reply, true
 	}
 	refused := errors.Is(err, ErrHubRefused)
 	if ctx.Err() != nil {
-		inFlight.Done(time.Now(), wqsend.Cancelled, assumedHubLatency)
+		done(wqsend.Cancelled)
 		return endedReply(ctx, !refused), true
 	}
-	inFlight.Done(time.Now(), wqsend.Broken, assumedHubLatency)
+	done(wqsend.Broken)
 	r.Log.Info("hub failed", slog.String("request_id", c.ID), slog.String("hub", hub.Searcher.ID), slog.Bool("not_run", refused), slog.String("error", err.Error()))
 	if !refused {
 		return wqcall.Reply{Status: wqcall.Unavailable, Reason: "the hub " + hub.Searcher.ID + " failed"}, true
--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -1,13 +1,17 @@
 package wqrelay
 
-import "wisteriaquay/core/wqselector"
+import (
+	"wisteriaquay/core/wqcall"
+	"wisteriaquay/core/wqroute"
+	"wisteriaquay/core/wqselector"
+)
 
 // searcherPicker is the policy that chooses the searcher of each send. Policies that
 // restrict the choice wrap the one that makes it.
-type searcherPicker = wqselector.LeastLatency
+type searcherPicker = wqselector.LeastWork
 
 // newPicker returns the policy for one request. SenderCount is the number of VMs that
 // send to the same searchers.
-func (r *Relay[S, P]) newPicker(senderCount int) searcherPicker {
-	return wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount}
+func (r *Relay[S, P]) newPicker(senderCount int, c *wqcall.Call, route *wqroute.Route) searcherPicker {
+	return r.leastWork(wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount}, c, route)
 }
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -66,6 +66,7 @@
 	OnWrongSearcher func(t *wqdirectory.Target) // OnWrongSearcher is called when another searcher answers at a target's address.
 	StartupWait     StartupWait
 	Placement       P
+	CostPlacement   *CostPlacement // CostPlacement is nil for a placement by latency.
 	HubClient       HubClient
 	Metrics         *wqmetric.Metrics
 	Log             *slog.Logger
@@ -183,7 +184,7 @@
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
 		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
-			Picker:      r.newPicker(sharerCount),
+			Picker:      r.newPicker(sharerCount, c, route),
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
