--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -3,28 +3,30 @@
 import (
 	"time"
 
+	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqcanary"
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqexclusion"
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqrollout"
+	"wisteriaquay/core/wqroute"
 	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 )
 
 // searcherPicker is the policy that chooses the searcher of each send. Policies that
 // restrict the choice wrap the one that makes it.
-type searcherPicker = wqcanary.Picker[wqexclusion.Picker[wqselector.LeastLatency]]
+type searcherPicker = wqcanary.Picker[wqexclusion.Picker[wqselector.LeastWork]]
 
 // newPicker returns the policy for one request. SenderCount is the number of VMs that
 // send to the same searchers.
-func (r *Relay[S, P]) newPicker(senderCount int) searcherPicker {
+func (r *Relay[S, P]) newPicker(senderCount int, c *wqcall.Call, route *wqroute.Route) searcherPicker {
 	return searcherPicker{
-		Inner: wqexclusion.Picker[wqselector.LeastLatency]{
-			Inner:      wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount},
+		Inner: wqexclusion.Picker[wqselector.LeastWork]{
+			Inner:      r.leastWork(wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount}, c, route),
 			Statements: r.Statements,
 		},
-		Meter: r.Canary, Directives: r.directives,
+		Meter: r.Canary, Route: route.Name, Directives: r.directives,
 	}
 }
 
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -72,6 +72,7 @@
 	Quota           Quota                       // Quota decides on the requests of client accounts; zero for no quotas.
 	StartupWait     StartupWait
 	Placement       P
+	CostPlacement   *CostPlacement // CostPlacement is nil for a placement by latency.
 	HubClient       HubClient
 	Metrics         *wqmetric.Metrics
 	Log             *slog.Logger
@@ -193,13 +194,12 @@
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
 		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
-			Picker:      r.newPicker(sharerCount),
+			Picker:      r.newPicker(sharerCount, c, route),
 			WaitTime:    r.Statements.Wait,
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
 	}
-	d.gather.Picker.Route = route.Name
 	if r.SendsEnded() {
 		d.gather.LastSendAt = time.Now()
 	}
