--- /dev/null
+++ b/core/wqquota/ledger_test.go
@@ -0,0 +1,202 @@
+package wqquota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"wisteriaquay/core/wqbound"
+	"wisteriaquay/core/wqquota"
+)
+
+var (
+	bound = wqbound.Quota{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	limit = wqquota.Limit{Rate: 10, Burst: 10, Bound: bound} // 60 in a window, at most 86.
+	start = time.Unix(1000, 0)
+)
+
+// fleetOf returns a roster of n VMs in three zones.
+func fleetOf(n int) *wqquota.Roster {
+	var vms []wqquota.VM
+	for i := range n {
+		vms = append(vms, wqquota.VM{ID: fmt.Sprintf("vm-%d", i), Zone: string(rune('a' + i%3)), Epoch: 1, Capacity: 400})
+	}
+	return wqquota.NewRoster(vms, n)
+}
+
+// ownerLedger returns the ledger of the VM that owns account t in a fleet of 6 VMs, at the
+// rank.
+func ownerLedger(rank int, firstStart bool) (*wqquota.Ledger, *wqquota.Roster) {
+	r := fleetOf(6)
+	l := &wqquota.Ledger{Self: r.Owners("t")[rank].ID, Bound: bound, StartedAt: start, FirstStart: firstStart}
+	l.SetRoster(start, r)
+	return l, r
+}
+
+// askUntilRefused returns how many requests are granted at one time.
+func askUntilRefused(l *wqquota.Ledger, now time.Time) int {
+	for n := 0; ; n++ {
+		if !l.Ask(now, limit, "t").Granted {
+			return n
+		}
+	}
+}
+
+// acknowledge lets the VMs up to n know of strict mode.
+func acknowledge(l *wqquota.Ledger, now time.Time, r *wqquota.Roster, n int, answer wqquota.Answer) {
+	for _, v := range r.VMs[:n] {
+		l.Acknowledge(now, v, wqquota.Entry{Tenant: "t", WantHistory: true}, answer)
+	}
+}
+
+// Guards against owners that differ between VMs, are all in one zone, or change with VMs
+// that are no owners.
+func TestOwnersAreStableAndInDifferentZones(t *testing.T) {
+	r := fleetOf(63)
+	owners := r.Owners("t")
+	must.Len(t, 3, owners)
+	must.SliceContainsAll(t, []string{"a", "b", "c"}, []string{owners[0].Zone, owners[1].Zone, owners[2].Zone})
+	must.Eq(t, owners, wqquota.NewRoster(append(r.VMs[7:63:63], r.VMs[:7]...), 63).Owners("t"))
+	must.Len(t, 2, fleetOf(2).Owners("t"))
+	must.Len(t, 0, wqquota.NewRoster(nil, 1).Owners("t"))
+	small := append([]wqquota.VM{{ID: "small", Zone: "a", Capacity: 100}}, fleetOf(20).VMs...)
+	for i := range 50 {
+		for _, o := range wqquota.NewRoster(small, 21).Owners(fmt.Sprint(i)) {
+			must.NotEq(t, "small", o.ID)
+		}
+	}
+}
+
+// Guards against an account that stays in free mode near its quota, or in strict mode for
+// good.
+func TestStrictModeBeginsNearTheQuotaAndEnds(t *testing.T) {
+	l, r := ownerLedger(0, true)
+	now := start.Add(500 * time.Millisecond)
+	for i := range 30 {
+		must.False(t, l.Add(now, limit, wqquota.Entry{Tenant: "t", Admitted: []time.Duration{0}}), must.Sprint(i))
+	}
+	must.True(t, l.Add(now, limit, wqquota.Entry{Tenant: "t", Admitted: make([]time.Duration, 20)}))
+	must.Len(t, 6, l.DuePushes(now))
+	must.True(t, l.Ask(now, limit, "t").Unsettled, must.Sprint("no VM has acknowledged strict mode"))
+	acknowledge(l, now, r, 6, wqquota.Answer{Full: true})
+	granted := askUntilRefused(l, now)
+	must.Between(t, 60, 50+granted, 70)
+	must.Len(t, 0, l.DuePushes(now.Add(900*time.Millisecond)))
+	for at := time.Second; at < 6*time.Second; at += 100 * time.Millisecond {
+		l.Tick(now.Add(at))
+	}
+	answer := l.Ask(now.Add(6*time.Second), limit, "t")
+	must.True(t, answer.Granted)
+	must.False(t, answer.Strict)
+	must.Len(t, 2, l.TakeChanges())
+}
+
+// Guards against an owner that grants the share of VMs that may use it themselves.
+func TestOwnerLeavesTheShareOfVMsThatItCannotReach(t *testing.T) {
+	l, r := ownerLedger(0, true)
+	now := start.Add(500 * time.Millisecond)
+	l.Add(now, limit, wqquota.Entry{Tenant: "t", Admitted: make([]time.Duration, 50)})
+	acknowledge(l, now, r, 4, wqquota.Answer{Full: true})
+	must.Eq(t, 0, askUntilRefused(l, now))
+	s := l.Standing(now, "t")
+	must.Eq(t, 50, s.Count)
+	must.Between(t, 30, s.Granted, 40)
+}
+
+// Guards against an owner that has started or was paused, and grants what was used before.
+func TestOwnerWithoutTheLastWindowCollectsIt(t *testing.T) {
+	history := make([]time.Duration, 9)
+	for i := range history {
+		history[i] = time.Second
+	}
+	for _, name := range []string{"started", "paused"} {
+		l, r := ownerLedger(0, name == "paused")
+		now := start.Add(100 * time.Millisecond)
+		if name == "paused" {
+			l.Add(now, limit, wqquota.Entry{Tenant: "t", Admitted: make([]time.Duration, 7)})
+			now = now.Add(4 * time.Second)
+		}
+		before := askUntilRefused(l, now)
+		must.LessEq(t, 7, before, must.Sprint(name))
+		must.True(t, l.DuePushes(now)[0].Entries[0].WantHistory)
+		acknowledge(l, now, r, 6, wqquota.Answer{Full: true, History: history})
+		must.Between(t, 60, before+54+askUntilRefused(l, now), 70, must.Sprint(name))
+	}
+}
+
+// Guards against a fleet that exceeds the bound because all of its processes have started
+// at once.
+func TestAfterAllHaveStartedLittleIsGrantedForOneWindow(t *testing.T) {
+	l, r := ownerLedger(0, false)
+	now := start
+	total := 0
+	for now.Sub(start) < bound.Window {
+		total += askUntilRefused(l, now)
+		acknowledge(l, now, r, 6, wqquota.Answer{})
+		now = now.Add(100 * time.Millisecond)
+	}
+	must.LessEq(t, int(limit.Ceiling()-limit.Quota())/2, total)
+	for at := time.Duration(0); at < bound.Window; at += 100 * time.Millisecond {
+		l.Tick(now.Add(at))
+	}
+	must.GreaterEq(t, 30, askUntilRefused(l, now.Add(bound.Window)))
+}
+
+// Guards against delays after which no credit is available, and against all refused
+// clients coming back at once.
+func TestRetryAfterIsWhenCreditIsAvailable(t *testing.T) {
+	l, r := ownerLedger(0, true)
+	now := start.Add(500 * time.Millisecond)
+	for at := time.Duration(0); at < 4*time.Second; at += 50 * time.Millisecond {
+		l.Ask(now.Add(at), limit, "t")
+		acknowledge(l, now.Add(at), r, 6, wqquota.Answer{Full: true})
+	}
+	now = now.Add(4 * time.Second)
+	last := time.Duration(0)
+	for range 10 {
+		answer := l.Ask(now, limit, "t")
+		must.False(t, answer.Granted)
+		must.GreaterEq(t, last, answer.Wait)
+		must.Between(t, 500*time.Millisecond, answer.Wait, 3*time.Second)
+		last = answer.Wait
+	}
+	for at := time.Duration(0); at < last; at += 100 * time.Millisecond {
+		l.Tick(now.Add(at))
+	}
+	must.True(t, l.Ask(now.Add(last), limit, "t").Granted)
+}
+
+// Guards against a VM that admits without an owner what the others may use, or what it has
+// used before a restart.
+func TestShareWithoutAnOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 300).Draw(t, "vms")
+		l := wqquota.Limit{Rate: rapid.Float64Range(0.1, 500).Draw(t, "rate"), Bound: bound}
+		if l.Quota() <= bound.Slack {
+			l.Rate *= 100
+		}
+		total := 0
+		for i := range vms {
+			g := &wqquota.Gate[wqquota.FreeAndStrict]{Bound: bound, StartedAt: start, FirstStart: true, Random: func() float64 { return (float64(i) + 0.5) / float64(vms) }}
+			for at := time.Duration(0); at < bound.Window; at += bound.Window / 50 {
+				for ok := true; ok; {
+					if ok, _ = g.TryShare(start.Add(at), "t", l, vms); ok {
+						total++
+					}
+				}
+			}
+		}
+		if float64(total) > l.Quota()+1 {
+			t.Fatalf("%d VMs admit %d of %v", vms, total, l.Quota())
+		}
+	})
+	g := &wqquota.Gate[wqquota.FreeAndStrict]{Bound: bound, StartedAt: start, Random: func() float64 { return 0.9 }}
+	ok, wait := g.TryShare(start.Add(time.Second), "t", limit, 3)
+	must.False(t, ok, must.Sprint("its own requests before the start are unknown"))
+	must.Eq(t, 4*time.Second, wait)
+	choice, _ := g.Choose(start.Add(time.Second), "t")
+	must.Eq(t, wqquota.AskOwner, choice)
+}
--- /dev/null
+++ b/core/wqquota/window_test.go
@@ -0,0 +1,53 @@
+package wqquota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// Guards against requests that leave the count early, which lets an account exceed its
+// quota, or late, which refuses requests under it.
+func TestWindowCountsEachEventForItsLengthAndOneSlotMore(t *testing.T) {
+	const length, slots = time.Second, 20
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		w := newWindow(now, length, slots)
+		var events []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "millis")) * time.Millisecond)
+			at := now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, "age")) * time.Millisecond)
+			w.add(now, at)
+			events = append(events, at)
+			least, most := 0, 0
+			for _, e := range events {
+				if now.Sub(e) < length {
+					least++
+				}
+				if now.Sub(e) <= length+length/slots {
+					most++
+				}
+			}
+			if n := w.count(now); n < least || n > most {
+				t.Fatalf("%d events, of at least %d and at most %d", n, least, most)
+			}
+			if n := w.count(now); n != len(w.ages(now, 100)) || n > 0 && w.untilLeft(now, 1) > length+length/slots {
+				t.Fatalf("%d events, %d ages, the first leaves in %v", n, len(w.ages(now, 100)), w.untilLeft(now, 1))
+			}
+		}
+	})
+}
+
+func TestRemovedEventNoLongerCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := newWindow(now, time.Second, 20)
+	w.add(now, now)
+	w.add(now, now.Add(-500*time.Millisecond))
+	w.remove(now, now.Add(-510*time.Millisecond)) // The resolution of clocks puts it into an earlier slot.
+	must.Eq(t, 1, w.count(now.Add(700*time.Millisecond)))
+	w.remove(now, now)
+	w.remove(now, now)
+	must.Eq(t, 0, w.count(now))
+}
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -191,6 +191,9 @@
 budgetSlack = 50
 warmupOvershoot = 1.5
 warmupSlack = 5
+quotaWindowS = 5
+quotaOvershoot = 0.1
+quotaSlack = 20
 [limits]
 memoryMb = %d
 [platform]
