Grant requests near the quota at its rate

Change: an owner also keeps a token bucket of the quota's rate and burst, and grants from it. An owner that does not know the last window starts with a nearly empty bucket, which fills from 2 s after its start.

--- /dev/null
+++ b/core/wqquota/bucket_test.go
@@ -0,0 +1,49 @@
+package wqquota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wisteriaquay/core/wqbound"
+)
+
+// Guards against an account that sends several times its quota, uses up a window at once
+// and then gets nothing for seconds.
+func TestGrantsFollowTheRate(t *testing.T) {
+	limit := Limit{Rate: 28, Burst: 28, Bound: wqbound.Quota{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}}
+	start := time.Unix(1000, 0)
+	l := &Ledger{Self: "a", Bound: limit.Bound, StartedAt: start, FirstStart: true}
+	l.SetRoster(start, NewRoster([]VM{{ID: "a", Zone: "z", Epoch: 1}}, 1))
+	var granted []int
+	for second := range 6 {
+		n := 0
+		for i := range 120 { // More than four times the rate.
+			now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Second/120)
+			if l.Ask(now, limit, "t").Granted {
+				n++
+			}
+			l.Acknowledge(now, VM{ID: "a", Epoch: 1}, Entry{Tenant: "t"}, Answer{Full: true})
+		}
+		granted = append(granted, n)
+	}
+	must.Between(t, 56, granted[0], 66)
+	for second, n := range granted[1:] {
+		must.Between(t, 27, n, 29, must.Sprint(second))
+	}
+}
+
+// Guards against an owner that has just started and grants what others may have granted
+// until a moment ago.
+func TestBucketOfAnUninformedOwnerStartsNearlyEmpty(t *testing.T) {
+	limit := Limit{Rate: 10, Burst: 10, Bound: wqbound.Quota{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}}
+	start := time.Unix(1000, 0)
+	b := newBucket(start, limit, true)
+	b.fill(start.Add(blindPace), limit, 1)
+	must.Eq(t, 6.5, b.level)
+	b.fill(start.Add(blindPace+time.Second), limit, 0.5)
+	must.Eq(t, 11.5, b.level)
+	b.fill(start.Add(time.Minute), limit, 1)
+	must.Eq(t, limit.bucketSize(), b.level)
+}
--- a/core/wqquota/ledger.go
+++ b/core/wqquota/ledger.go
@@ -32,6 +32,7 @@
 type account struct {
 	limit       Limit
 	window      window
+	bucket      bucket
 	since       time.Time // since is when this owner began to get all reports.
 	strict      bool
 	strictSince time.Time
@@ -94,6 +95,7 @@
 		for _, a := range l.accounts {
 			a.window = newWindow(now, l.Bound.Window, ledgerSlots) // The VMs report their requests again when they are told of strict mode.
 			a.since, a.acked, a.nextPush, a.pushingFrom = now, make(map[vmKey]bool), now, now
+			a.bucket = newBucket(now, a.limit, true)
 		}
 	}
 	l.lastCall = now
@@ -152,10 +154,11 @@
 		if len(l.accounts) >= maxAccounts {
 			return nil
 		}
-		a = &account{window: newWindow(now, l.Bound.Window, ledgerSlots), since: now}
+		a = &account{window: newWindow(now, l.Bound.Window, ledgerSlots), since: now, bucket: newBucket(now, limit, l.blind(now, tenant))}
 		l.accounts[tenant] = a
 	}
 	a.limit, a.usedAt = limit, now
+	a.bucket.fill(now, limit, l.paceShare(a))
 	return a
 }
 
@@ -167,9 +170,11 @@
 	}
 	for _, age := range e.Admitted {
 		a.window.add(now, now.Add(-max(age, 0)))
+		a.bucket.take()
 	}
 	for _, age := range e.Returned {
 		a.window.remove(now, now.Add(-max(age, 0)))
+		a.bucket.level++
 	}
 	l.updateMode(now, e.Tenant, a)
 	return a.strict
@@ -189,9 +194,10 @@
 		a.pushing, a.pushingFrom, a.nextPush = true, now, now
 	}
 	answer := Answer{Tenant: tenant, Blind: blind}
-	granted := l.granted(a, blind)
-	if count := a.window.count(now); float64(count+1) <= granted {
+	granted := l.granted(now, a, blind)
+	if count := a.window.count(now); a.bucket.level >= 1 && float64(count+1) <= granted {
 		a.window.add(now, now)
+		a.bucket.take()
 		answer.Granted = true
 	} else {
 		answer.Unsettled = a.strict && now.Sub(a.pushingFrom) < settleTime && len(a.acked) < l.liveCount()
@@ -203,19 +209,33 @@
 }
 
 // granted returns the count up to which requests are granted. Each VM that can't be told
-// of strict mode may use its equal share of the quota, which is left to it; so may each
-// one whose requests are unknown have used it.
-func (l *Ledger) granted(a *account, blind bool) float64 {
+// of strict mode may use its equal share of the quota, which is left to it. Until the
+// bucket fills, so may each one whose requests are unknown have used it.
+func (l *Ledger) granted(now time.Time, a *account, blind bool) float64 {
 	if !blind && !a.strict {
 		return a.limit.granted(1, 1, 1)
 	}
-	known := 0
+	return a.limit.granted(l.known(a, blind && now.Before(a.bucket.at)), l.liveCount(), l.fleetSize())
+}
+
+// paceShare returns the part of the rate at which the bucket of an account fills.
+func (l *Ledger) paceShare(a *account) float64 {
+	if !a.strict {
+		return 1
+	}
+	return a.limit.share(l.known(a, false), l.liveCount(), l.fleetSize())
+}
+
+// known returns the number of live VMs that know of strict mode, or only those whose own
+// requests are known for the whole window.
+func (l *Ledger) known(a *account, withHistory bool) int {
+	n := 0
 	for key, full := range a.acked {
-		if (full || !blind) && l.isLive(key) {
-			known++
+		if (full || !withHistory) && l.isLive(key) {
+			n++
 		}
 	}
-	return a.limit.granted(known, l.liveCount(), l.fleetSize())
+	return n
 }
 
 // wait returns the time until a request may be granted, after those that were told to
@@ -225,10 +245,9 @@
 		a.promised = 0
 	}
 	a.promised++
-	excess := count - int(max(granted, 0)) + a.promised
-	wait := a.window.untilLeft(now, max(excess, 1))
-	if later := excess - count; later > 0 { // More are waiting than the window holds.
-		wait += time.Duration(min(float64(later)/a.limit.Rate, 60) * float64(time.Second))
+	wait := a.bucket.wait(now, a.limit, a.promised)
+	if excess := count - int(max(granted, 0)) + 1; excess > 0 {
+		wait = max(wait, a.window.untilLeft(now, excess))
 	}
 	wait = min(wait, 2*a.limit.Bound.Window) // Clients that ignore their delay must not delay others for longer.
 	if to := now.Add(wait); to.After(a.promisedTo) {
@@ -283,9 +302,9 @@
 		entry /= 2
 	}
 	switch {
-	case !a.strict && count >= math.Max(entry, 1):
+	case !a.strict && (count >= math.Max(entry, 1) || a.bucket.level < bucketEntry*a.limit.bucketSize()):
 		l.beginStrict(now, tenant, a, blind)
-	case a.strict && count < exitShare*entry && !blind && now.Sub(a.strictSince) >= l.Bound.Window:
+	case a.strict && count < exitShare*entry && a.bucket.level >= bucketExit*a.limit.bucketSize() && !blind && now.Sub(a.strictSince) >= l.Bound.Window:
 		a.strict, a.acked, a.pushing = false, nil, false
 		l.recordChange(now, tenant, a, blind)
 	}
@@ -383,5 +402,5 @@
 		return Standing{}
 	}
 	blind := l.blind(now, tenant)
-	return Standing{Count: a.window.count(now), Granted: l.granted(a, blind), Strict: a.strict, Blind: blind, Known: len(a.acked)}
+	return Standing{Count: a.window.count(now), Granted: l.granted(now, a, blind), Strict: a.strict, Blind: blind, Known: len(a.acked)}
 }
