--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -108,7 +108,7 @@
 
 const (
 	minBackoff         = 15 * time.Millisecond // minBackoff is the first delay after all searchers of a service refused; it doubles.
-	maxSendsPerService = 6                     // maxSendsPerService applies to one request and includes refused sends.
+	MaxSendsPerService = 6                     // MaxSendsPerService applies to one request and includes refused sends.
 	pollInterval       = 10 * time.Millisecond // pollInterval is the time between two checks for another searcher or for budget.
 )
 
@@ -190,7 +190,7 @@
 	if s.answered || s.closed {
 		return sends
 	}
-	if g.sendsEnded(now) || s.maybeRun >= g.maxAttempts() || s.sendCount >= maxSendsPerService {
+	if g.sendsEnded(now) || s.maybeRun >= g.maxAttempts() || s.sendCount >= MaxSendsPerService {
 		s.closed = len(s.inFlight) == 0
 		return sends
 	}
@@ -266,7 +266,7 @@
 		case s.answered, s.closed, g.sendsEnded(now):
 		case len(s.inFlight) == 0:
 			next = wqtime.Earlier(next, wqtime.Later(s.retryAt, now.Add(time.Millisecond)))
-		case g.Route.Idempotent && s.maybeRun < g.maxAttempts() && s.sendCount < maxSendsPerService:
+		case g.Route.Idempotent && s.maybeRun < g.maxAttempts() && s.sendCount < MaxSendsPerService:
 			next = wqtime.Earlier(next, wqtime.Later(g.hedgeAt(s), now.Add(time.Millisecond)))
 		}
 	}
