--- a/cmd/wisteriaquay/command.go
+++ b/cmd/wisteriaquay/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -44,6 +45,7 @@
 		cmdBack,
 		cmdStatus,
 		cmdCheck,
+		cmdCheckConfiguration,
 		cmdLoad,
 		cmdVersion,
 	}
@@ -74,6 +76,9 @@
 		_, _ = fmt.Fprintln(c.Out, err)
 		return exitOK
 	}
+	if code := checkExitCode(0); errors.As(err, &code) {
+		return int(code)
+	}
 	_, _ = fmt.Fprintf(c.Err, "wisteriaquay %s: %s\n", m.Name, err)
 	if wqfault.KindOf(err) == wqfault.BadInput {
 		return exitBadInput
--- a/cmd/wisteriaquay/main.go
+++ b/cmd/wisteriaquay/main.go
@@ -7,7 +7,8 @@
 //	wisteriaquay query --entry http://10.0.0.7:7400 --tenant bench --class lookup --service bench TEXT
 //	wisteriaquay help
 //
-// It exits with 0 on success, 1 on failure and 2 on invalid input.
+// It exits with 0 on success, 1 on failure and 2 on invalid input; check-configuration
+// has exit codes of its own.
 package main
 
 import (
--- a/core/wqconfigcheck/checker.go
+++ b/core/wqconfigcheck/checker.go
@@ -15,6 +15,8 @@
 import (
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 
 	"wisteriaquay/core/wqretryquota"
 	"wisteriaquay/core/wqroute"
@@ -28,23 +30,28 @@
 // Check returns the findings of next. If inForce is not nil, it also returns what
 // changes from that version.
 func (c Checker) Check(next, inForce *Configuration) Report {
-	r := Report{Findings: next.Findings}
-	r.Findings = append(r.Findings, findErrors(next)...)
+	r := Report{Findings: slices.Concat(next.Findings, findErrors(next))}
 	r.Findings = append(r.Findings, findUnused(next)...)
 	r.Findings = append(r.Findings, c.findContradictions(next)...)
-	if inForce == nil {
-		return r
+	if inForce != nil {
+		r.Findings = append(r.Findings, findOldVersion(next, inForce)...)
+		r.Changes = findChanges(inForce, next)
+		r.Losses = findLosses(inForce, next)
 	}
-	if next.Version <= inForce.Version {
-		r.Findings = append(r.Findings, Finding{
-			Warning, Location{Section: Version}, fmt.Sprintf("version %d is not higher than %d, which is in force; VMs ignore it", next.Version, inForce.Version), "raise the version",
-		})
-	}
-	r.Changes = findChanges(inForce, next)
-	r.Losses = findLosses(inForce, next)
+	slices.SortStableFunc(r.Findings, func(a, b Finding) int { return strings.Compare(string(a.Severity), string(b.Severity)) }) // Errors first.
 	return r
 }
 
+// findOldVersion returns a warning if next would not replace the version in force.
+func findOldVersion(next, inForce *Configuration) []Finding {
+	if next.Version > inForce.Version {
+		return nil
+	}
+	return []Finding{{
+		Warning, Location{Section: Version}, fmt.Sprintf("version %d is not higher than %d, which is in force; VMs ignore it", next.Version, inForce.Version), "raise the version",
+	}}
+}
+
 // table returns the table that a VM would make of a configuration.
 func (c *Configuration) table() *wqroute.Table {
 	routes := make([]wqroute.Route, len(c.Routes))
--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -107,11 +107,13 @@
 }
 
 const (
-	minBackoff         = 15 * time.Millisecond // minBackoff is the first delay after all searchers of a service refused; it doubles.
-	MaxSendsPerService = 6                     // MaxSendsPerService applies to one request and includes refused sends.
-	pollInterval       = 10 * time.Millisecond // pollInterval is the time between two checks for another searcher or for budget.
+	minBackoff   = 15 * time.Millisecond // minBackoff is the first delay after all searchers of a service refused; it doubles.
+	pollInterval = 10 * time.Millisecond // pollInterval is the time between two checks for another searcher or for budget.
 )
 
+// MaxSendsPerService applies to one request and includes refused sends.
+const MaxSendsPerService = 6
+
 // Start returns the first send to each service, or none when too few services
 // have a searcher that can be sent the request in time.
 func (g *Gather[P, H]) Start(now time.Time, pools wqdirectory.Pools) []Send {
