--- a/core/wqstatement/tracker.go
+++ b/core/wqstatement/tracker.go
@@ -107,7 +107,7 @@
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
 	e := tr.entries[t.Searcher.ID]
-	if e != nil && t.Incarnation < e.start.incarnation {
+	if e != nil && t.Incarnation != 0 && t.Incarnation < e.start.incarnation {
 		return NoChange
 	}
 	if e == nil || e.start != startOf(t) {
--- a/core/wqstatement/tracker_test.go
+++ b/core/wqstatement/tracker_test.go
@@ -65,6 +65,10 @@
 	must.False(t, tr.MaySend(later, target("x", 6)))
 	must.True(t, tr.MaySend(later.Add(time.Second), target("x", 6)))
 
+	unregistered := target("x", 0)
+	must.Eq(t, wqstatement.BeganLeaving, tr.Observe(later, unregistered, wqstatement.Statement{Leaving: true}), must.Sprint("it may be the latest start"))
+	must.False(t, tr.MaySend(later.Add(time.Minute), unregistered))
+
 	unknown := target("y", 0)
 	tr.Observe(now, unknown, wqstatement.Statement{Leaving: true})
 	must.False(t, tr.MaySend(later, unknown))
