--- a/io/wqrelay/unavailable.go
+++ b/io/wqrelay/unavailable.go
@@ -21,7 +21,7 @@
 		wait = wqretryafter.NoCapacity
 	}
 	return wqcall.Reply{
-		Status: wqcall.NotRun, Reason: d.describeMissing("all searchers reject requests or are leaving"),
+		Status: wqcall.NotRun, Reason: d.describeMissing("all searchers of a service reject requests or are leaving"),
 		RetryAfter: wqretryafter.Spread(wait, rand.Uint64()),
 	}
 }
