--- a/core/wqcanary/meter.go
+++ b/core/wqcanary/meter.go
@@ -42,6 +42,12 @@
 	localStop         = 5 * time.Second
 )
 
+// The sides of a rollout, as labels of metrics.
+const (
+	SideNew = "new"
+	SideOld = "old"
+)
+
 // Meter counts sends. Set Random before the first call. It is safe for concurrent use.
 type Meter struct {
 	Random func() float64 // Random returns a number from 0 to 1, without 1.
@@ -138,16 +144,17 @@
 	}
 }
 
-// Ended counts the end of a send.
-func (m *Meter) Ended(now time.Time, o Outcome) {
+// Ended counts the end of a send. It returns the side, SideNew or SideOld, or an empty
+// string for a service without a directive.
+func (m *Meter) Ended(now time.Time, o Outcome) string {
 	if m.active.Load() == 0 {
-		return
+		return ""
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	s := m.services[o.Target.Searcher.Service]
 	if s == nil {
-		return
+		return ""
 	}
 	isNew := o.Target.Version == s.directive.Version
 	if !isNew {
@@ -156,6 +163,10 @@
 	s.settle(m.credit(s, o.Route), o.Route, isNew, o.Result)
 	s.countFailure(now, isNew, o.Result)
 	s.count(isNew, &o)
+	if isNew {
+		return SideNew
+	}
+	return SideOld
 }
 
 // settle books the credit of a send. One that was certainly not sent is given back.
--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -61,6 +61,7 @@
 	failedSends      *prometheus.CounterVec
 	fanOuts          *prometheus.CounterVec
 	peerBytes        *prometheus.CounterVec
+	rolloutSends     *prometheus.CounterVec
 }
 
 // New returns metrics with their own Prometheus registry.
@@ -81,6 +82,8 @@
 	m.failedSends = counter("sends_failed_total", "Sends to searchers that got no answer.", []string{"service", "outcome"})
 	m.fanOuts = counter("fan_outs_total", "Fan-outs, by the availability zone of the VM that got the request and of the VM that ran it.", []string{"entry_zone", "hub_zone"})
 	m.peerBytes = counter("peer_bytes_total", "Bytes of messages that this VM began, to and from other VMs, by kind and by the availability zone of the other VM.", []string{"kind", "zone"})
+	m.rolloutSends = newRolloutSends()
+	m.registry.MustRegister(m.rolloutSends)
 	m.registry.MustRegister(m.callLatency, m.callCoverage, m.sends, m.failedSends, m.fanOuts, m.peerBytes)
 	m.registry.MustRegister(m.queryLatency, m.queryCoverage, m.queryExtraLoad, m.subQueriesNeeded, m.subQueriesSent, m.hedgesSent, m.refusals, m.writes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -32,10 +32,13 @@
 	if d.relay.Canary == nil {
 		return
 	}
-	d.relay.Canary.Ended(now, wqcanary.Outcome{
+	side := d.relay.Canary.Ended(now, wqcanary.Outcome{
 		Target: s.Target, Route: d.gather.Route.Name, Far: s.Target.Searcher.Zone != d.relay.Zone,
 		Cold: start.Before(s.Target.ColdStartEnd), Result: r.Outcome, Elapsed: r.Elapsed,
 	})
+	if side != "" && d.relay.Metrics != nil {
+		d.relay.Metrics.CountRolloutSend(s.Target.Searcher.Service, side, r.Outcome.String())
+	}
 }
 
 // countRolloutSend passes the start of a send to the rollout of its service.
--- a/test/tier/rollout_failure_test.go
+++ b/test/tier/rollout_failure_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -198,3 +199,18 @@
 	checkExposure(t, f, ordered)
 	checkGuarantees(t, f)
 }
+
+// Guards against a coordinator that was frozen and goes on with old evidence, and against a
+// fleet that waits for it.
+func TestFrozenCoordinatorDoesNotStopARollout(t *testing.T) {
+	t.Parallel()
+	f, ordered, stop := startRollout(t, 5, wqfakeplatform.Behaviour{})
+	waitState(f, "running", 5*time.Second)
+	vm := coordinator(f)
+	vm.Signal(syscall.SIGSTOP)
+	time.Sleep(6 * time.Second)
+	vm.Signal(syscall.SIGCONT)
+	waitState(f, "completed", rolloutDuration-time.Since(ordered))
+	stop()
+	must.Eq(t, 1, strings.Count(strings.Join(f.Store.ValuesOf(statusKey), ""), "completed"))
+}
