A service's earlier versions stay barred; threshold grows with the evidence

An order that replaces another one bars its version, which would count as an old one. An order for a version that was completed is completed at once.

--- a/core/wqcanary/picker.go
+++ b/core/wqcanary/picker.go
@@ -1,6 +1,7 @@
 package wqcanary
 
 import (
+	"slices"
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
@@ -27,7 +28,7 @@
 	if !ok || d.Phase == wqrollout.None {
 		return p.Inner.Pick(now, targets, tried, meanLatency, random)
 	}
-	newTargets, oldTargets := split(targets, d.Version)
+	newTargets, oldTargets := split(targets, &d)
 	first, second := oldTargets, []*wqdirectory.Target(nil)
 	switch {
 	case d.PrefersNew(now):
@@ -51,13 +52,22 @@
 	return p.Inner.Unresponsive(now, searcherID)
 }
 
-func split(targets []*wqdirectory.Target, version string) (newTargets, oldTargets []*wqdirectory.Target) {
+// split returns the targets of the new and of the old version. Without an order, barred
+// versions count as old if there is nothing else.
+func split(targets []*wqdirectory.Target, d *wqrollout.Directive) (newTargets, oldTargets []*wqdirectory.Target) {
+	var barred []*wqdirectory.Target
 	for _, t := range targets {
-		if t.Version == version {
+		switch {
+		case t.Version == d.Version:
 			newTargets = append(newTargets, t)
-		} else {
+		case slices.Contains(d.Barred, t.Version):
+			barred = append(barred, t)
+		default:
 			oldTargets = append(oldTargets, t)
 		}
 	}
+	if d.Phase == wqrollout.Held && len(newTargets)+len(oldTargets) == 0 {
+		oldTargets = barred
+	}
 	return newTargets, oldTargets
 }
--- a/core/wqplan/rollout.go
+++ b/core/wqplan/rollout.go
@@ -18,6 +18,9 @@
 	if !ok {
 		return true
 	}
+	if slices.Contains(d.Barred, t.Version) {
+		return !slices.ContainsFunc(pool, func(o *wqdirectory.Target) bool { return !slices.Contains(d.Barred, o.Version) })
+	}
 	hasOther := slices.ContainsFunc(pool, func(o *wqdirectory.Target) bool { return (o.Version == d.Version) != (t.Version == d.Version) })
 	if t.Version != d.Version {
 		return !d.PrefersNew(now) || !hasOther
--- a/core/wqrollout/measure_test.go
+++ b/core/wqrollout/measure_test.go
@@ -7,7 +7,10 @@
 	"time"
 )
 
-var runs = flag.Int("rollout.runs", 2, "simulated rollouts of each kind, fleet and rate")
+var (
+	duration = flag.Duration("rollout.duration", time.Minute, "time from the order to the deadline")
+	runs     = flag.Int("rollout.runs", 2, "simulated rollouts of each kind, fleet and rate")
+)
 
 // drawFault draws how bad a version is: it fails 20 to 60% of its requests or is 3 to 6
 // times slower.
@@ -93,7 +96,6 @@
 // outcome, and against good versions that are not completed. With -rollout.runs=200 it
 // prints the table of docs/measurements/rollouts.md.
 func TestSimulatedRollouts(t *testing.T) {
-	const duration = 60 * time.Second
 	for _, rate := range []float64{5, 20, 50, 500} {
 		for _, vms := range []int{7, 61, 300} {
 			for i := range scenarios {
@@ -103,7 +105,7 @@
 					right, exposure, completed := 0, 0.0, 0
 					reasons := ""
 					for seed := range *runs {
-						s := newSimulation(sc, uint64(seed)+1, vms, rate, duration)
+						s := newSimulation(sc, uint64(seed)+1, vms, rate, *duration)
 						s.run()
 						atDeadline := float64(s.sentNew) / (limits.Share*float64(s.sentAll) + limits.Slack)
 						exposure = max(exposure, atDeadline)
@@ -113,7 +115,7 @@
 						_, reason := s.rollout.Phase()
 						if s.completedAt.IsZero() == sc.bad {
 							right++
-						} else if *runs <= 20 {
+						} else if *runs <= 60 {
 							reasons += fmt.Sprintf(" seed %d: %q failing %.2f slow %.1f;", seed+1, reason, s.failing, s.slow)
 						}
 						if sc.bad {
--- a/core/wqrollout/order.go
+++ b/core/wqrollout/order.go
@@ -55,6 +55,9 @@
 	OrderRevision uint64  `json:"order_revision"`
 	Phase         Phase   `json:"phase"`
 	Share         float64 `json:"share"` // Share is the part of the sends that the new version gets while Running.
+	// Barred are versions that get nothing while there are others: their rollout was
+	// replaced, withdrawn or rolled back.
+	Barred []string `json:"-"`
 	// Weights holds the factor on Share for each route. Rare routes have a higher one, so
 	// that there is evidence on them too. The mean over all sends is 1; missing routes have 1.
 	Weights    map[string]float64 `json:"weights,omitempty"`
--- a/core/wqverdict/verdict.go
+++ b/core/wqverdict/verdict.go
@@ -35,12 +35,14 @@
 var kindNames = [kindCount]string{"failures", "slow answers", "lost responses"}
 
 const (
-	// Threshold is the sum of log-likelihood ratios at which a version counts as bad. By
-	// Wald's bound, a start of the sum at zero leads to a false verdict with a
-	// probability under exp(-Threshold), 1 in 1,000 for each kind and route.
-	Threshold = 7.0
-	// lossThreshold is higher since the network loses responses as well.
-	lossThreshold = 12.0
+	// baseThreshold is the sum of log-likelihood ratios at which a version counts as bad
+	// after few responses. By Wald's bound, a start of a sum at zero leads to a false
+	// verdict with a probability under exp(-threshold), 1 in 1,100. As each good response
+	// may start a sum anew, the threshold grows with the logarithm of their number.
+	baseThreshold = 7.0
+	baseResponses = 20.0
+	// lossMargin is added for lost responses, since the network loses some as well.
+	lossMargin = 4.0
 	// suspectSum is the sum from which a single searcher counts as affected, and a quarter
 	// of the highest sum of a searcher.
 	suspectSum = 1
@@ -196,32 +198,36 @@
 }
 
 // Bad returns why the version is bad, in a few words, or an empty string.
-func (t *Test) Bad() string {
+func (t *Test) Bad() string { return t.find(1) }
+
+// Suspicious reports whether the evidence is half way to a verdict.
+func (t *Test) Suspicious() bool { return t.find(0.5) != "" }
+
+// find returns the first kind of bad response whose sum reaches a part of the threshold.
+func (t *Test) find(part float64) string {
 	for kind := range kindCount {
-		limit := Threshold
-		if kind == losses {
-			limit = lossThreshold
+		limit := part * t.threshold(kind)
+		if t.limitedToSearcher(kind) {
+			continue
 		}
-		if t.all[kind] >= limit && !t.limitedToSearcher(kind) {
-			return fmt.Sprintf("%s on all routes, score %.1f", kindNames[kind], t.all[kind])
+		if t.all[kind] >= limit {
+			return fmt.Sprintf("%s on all routes, score %.1f, threshold %.1f", kindNames[kind], t.all[kind], limit)
 		}
 		for name, s := range t.routes {
-			if s[kind] >= limit && !t.limitedToSearcher(kind) {
-				return fmt.Sprintf("%s on route %s, score %.1f", kindNames[kind], name, s[kind])
+			if s[kind] >= limit {
+				return fmt.Sprintf("%s on route %s, score %.1f, threshold %.1f", kindNames[kind], name, s[kind], limit)
 			}
 		}
 	}
 	return ""
 }
 
-// Suspicious reports whether the evidence is half way to a verdict.
-func (t *Test) Suspicious() bool {
-	for kind := range kindCount {
-		if t.all[kind] >= Threshold/2 && !t.limitedToSearcher(kind) {
-			return true
-		}
+func (t *Test) threshold(kind int) float64 {
+	limit := baseThreshold + math.Log(max(float64(t.responses), baseResponses)/baseResponses)
+	if kind == losses {
+		limit += lossMargin
 	}
-	return false
+	return limit
 }
 
 // limitedToSearcher reports whether one searcher alone is affected while others of the
--- a/io/wqcontroller/coordination.go
+++ b/io/wqcontroller/coordination.go
@@ -123,7 +123,7 @@
 // takeReport takes in one report, as the coordinator, and returns the directive.
 func (c *Controller) takeReport(now time.Time, r *wqrollout.Report) (wqrollout.Directive, bool) {
 	s := c.rollouts[r.Service]
-	if s == nil || !s.pending() || r.OrderRevision != s.order.Revision {
+	if s == nil || s.moved || !s.pending() || r.OrderRevision != s.order.Revision {
 		return wqrollout.Directive{}, false
 	}
 	if s.rollout == nil {
@@ -214,6 +214,12 @@
 
 // tickRollout evaluates one order and writes its status if that is due.
 func (c *Controller) tickRollout(now time.Time, s *rolloutState) {
+	if s.moved {
+		if c.coordinator(now).ID == c.members.Self.ID {
+			c.writeStatus(now, s, s.order, wqrollout.Completed)
+		}
+		return
+	}
 	if s.witnessed && now.Sub(s.firstSeen) > s.order.Duration+lateVerdict {
 		c.latch(now, s, "no verdict until the deadline")
 	}
--- a/io/wqcontroller/rollout.go
+++ b/io/wqcontroller/rollout.go
@@ -60,6 +60,8 @@
 	firstSeen time.Time            // firstSeen is when the order was seen first, by any VM as far as known.
 	witnessed bool                 // witnessed is true if firstSeen is the time of the order.
 	verdict   string               // verdict is the reason if the version is known to be rolled back.
+	moved     bool                 // moved is true if an earlier order has completed this version.
+	barred    map[string]bool      // barred holds versions whose rollout ended without completion.
 	latest    wqrollout.Directive  // latest is the coordinator's latest directive.
 
 	rollout    *wqrollout.Rollout // rollout is set once this VM coordinates the order.
@@ -69,13 +71,17 @@
 	logged     string    // logged is the directive of the latest log line.
 }
 
+func newRolloutState() *rolloutState {
+	return &rolloutState{versions: make(map[string]time.Time), barred: make(map[string]bool)}
+}
+
 func (c *Controller) rolloutState(service string) *rolloutState {
 	s := c.rollouts[service]
 	if s == nil {
 		if len(c.rollouts) >= maxRolloutServices {
-			return &rolloutState{versions: make(map[string]time.Time)} // Not kept.
+			return newRolloutState() // Not kept.
 		}
-		s = &rolloutState{versions: make(map[string]time.Time)}
+		s = newRolloutState()
 		c.rollouts[service] = s
 	}
 	return s
@@ -113,13 +119,31 @@
 		s.begin(now, i.Age, wqrollout.Order{Service: change.Service})
 	case wqchange.RolloutStatus:
 		s.status = change.Status
+		if s.status.Phase.Final() {
+			s.bar(s.status.Version, s.status.Phase == wqrollout.RolledBack)
+		}
 		c.Log.Info("rollout status", "service", change.Service, "version", change.Status.Version, "state", change.Status.Phase.String(), "revision", i.Revision, "age_ms", i.Age.Milliseconds())
 	}
 	c.dirty = true
 }
 
-// begin replaces the order.
+// bar adds a version to those that get nothing while there are others, or removes it.
+func (s *rolloutState) bar(version string, barred bool) {
+	if !barred {
+		delete(s.barred, version)
+	} else if len(s.barred) < maxVersions {
+		s.barred[version] = true
+	}
+}
+
+// begin replaces the order. The version of one without a verdict may be bad; one that was
+// completed already is in use, and needs no verdict.
 func (s *rolloutState) begin(now time.Time, age time.Duration, o wqrollout.Order) {
+	if s.pending() {
+		s.bar(s.order.Version, true)
+	}
+	s.bar(o.Version, false)
+	s.moved = o.Revision > 0 && s.status.Phase == wqrollout.Completed && s.status.Version == o.Version
 	s.order, s.firstSeen, s.verdict = o, now.Add(-age), ""
 	s.latest, s.rollout, s.reportedAt, s.writeAt, s.logged = wqrollout.Directive{}, nil, time.Time{}, time.Time{}, ""
 }
@@ -136,25 +160,37 @@
 // nothing to do.
 func (s *rolloutState) directive(now time.Time, service string) wqrollout.Directive {
 	d := wqrollout.Directive{Service: service, Version: s.order.Version, OrderRevision: s.order.Revision, Phase: wqrollout.Running}
+	for version := range s.barred {
+		if version != s.order.Version {
+			d.Barred = append(d.Barred, version)
+		}
+	}
 	switch {
 	case !s.ordered():
 		return s.unordered(now, d)
 	case !s.pending():
 		d.Phase = s.status.Phase
+	case s.moved:
+		d.Phase = wqrollout.Completed
 	case s.verdict != "":
 		d.Phase, d.Reason = wqrollout.RolledBack, s.verdict
 	case s.latest.OrderRevision == s.order.Revision:
-		return s.latest
+		barred := d.Barred
+		d = s.latest
+		d.Barred = barred
 	}
 	return d
 }
 
-// unordered returns the directive without an order: a version that was rolled back, or
-// that appeared a moment ago beside another one, is used only if there is no other.
+// unordered returns the directive without an order: versions that are barred, and one that
+// appeared a moment ago beside another one, are used only if there is no other.
 func (s *rolloutState) unordered(now time.Time, d wqrollout.Directive) wqrollout.Directive {
 	d.Phase = wqrollout.None
-	if s.status.Phase == wqrollout.RolledBack || s.status.Phase == wqrollout.Running {
-		d.Phase, d.Version = wqrollout.Held, s.status.Version
+	if s.status.Phase == wqrollout.Running && !s.barred[s.status.Version] {
+		d.Barred = append(d.Barred, s.status.Version)
+	}
+	if len(d.Barred) > 0 {
+		d.Phase, d.Version = wqrollout.Held, ""
 		return d
 	}
 	oldest, newest, version := now, time.Time{}, ""
@@ -213,7 +249,7 @@
 // latch makes this VM stop using the new version for good, unless the store says that the
 // rollout was completed.
 func (c *Controller) latch(now time.Time, s *rolloutState, reason string) {
-	if s.verdict != "" || !s.pending() {
+	if s.verdict != "" || s.moved || !s.pending() {
 		return
 	}
 	s.verdict, c.dirty = reason, true
--- a/io/wqcontroller/rollout_test.go
+++ b/io/wqcontroller/rollout_test.go
@@ -39,7 +39,7 @@
 		return nil, errors.New("no response")
 	}
 	if statusRevision == s.revision {
-		s.revision = max(s.revision, 20) + 1
+		s.revision = max(s.revision, 20) + 10
 		s.phases = append(s.phases, p)
 	}
 	return []wqmirror.Item{{Key: "status", Value: []byte{byte(s.phases[len(s.phases)-1])}, Revision: s.revision}}, nil
@@ -54,10 +54,17 @@
 // decodeRollout decodes the order under the key order, whose value is its duration, and
 // the status that statusStore returns.
 func decodeRollout(i wqmirror.Item) wqchange.Change {
+	if version, ok := strings.CutPrefix(i.Key, "searcher/"); ok {
+		return wqchange.Change{Kind: wqchange.Registered, Registration: wqdirectory.Registration{ID: version, Service: "s", Version: version, Address: "192.0.2.1:80", Zone: "a", Slots: 3}}
+	}
 	switch i.Key {
-	case "order":
+	case "order", "order v3":
+		version := "v2"
+		if i.Key == "order v3" {
+			version = "v3"
+		}
 		d, _ := time.ParseDuration(string(i.Value)) // The tests write valid durations.
-		return wqchange.Change{Kind: wqchange.RolloutOrdered, Service: "s", Order: wqrollout.Order{Service: "s", Version: "v2", Duration: d, Revision: i.Revision}}
+		return wqchange.Change{Kind: wqchange.RolloutOrdered, Service: "s", Order: wqrollout.Order{Service: "s", Version: version, Duration: d, Revision: i.Revision}}
 	case "status":
 		return wqchange.Change{Kind: wqchange.RolloutStatus, Service: "s", Status: wqrollout.Status{Service: "s", Version: "v2", Phase: wqrollout.Phase(i.Value[0]), Revision: i.Revision}}
 	}
@@ -75,10 +82,14 @@
 	v.Rollouts = wqcontroller.Rollouts{Limits: wqbound.Rollout{Share: 0.1, Slack: 50, RollbackTime: 5 * time.Second}, Meter: v.meter, Status: store}
 	go v.Run(ctx)
 	v.Deliver(ctx, wqmirror.Batch{Full: true, StoreRevision: 1})
-	v.Deliver(ctx, wqmirror.Batch{Items: []wqmirror.Item{{Key: "order", Value: []byte("20s"), Revision: 2}}, StoreRevision: 2})
 	return v
 }
 
+// order delivers an order.
+func (v *rolloutVM) order(ctx context.Context, key string, revision uint64) {
+	v.Deliver(ctx, wqmirror.Batch{Items: []wqmirror.Item{{Key: key, Value: []byte("20s"), Revision: revision}}, StoreRevision: revision})
+}
+
 // serve sends 50 requests a second until ctx ends; those to the new version have this
 // outcome.
 func (v *rolloutVM) serve(ctx context.Context, outcome wqsend.Outcome) {
@@ -122,6 +133,8 @@
 		defer cancel()
 		store := &statusStore{}
 		good, bad := newRolloutVM(ctx, "good", store), newRolloutVM(ctx, "bad", store)
+		good.order(ctx, "order", 2)
+		bad.order(ctx, "order", 2)
 		go good.serve(ctx, wqsend.Answered)
 		go bad.serve(ctx, wqsend.Failed)
 		time.Sleep(22 * time.Second)
@@ -142,6 +155,7 @@
 		defer cancel()
 		store := &statusStore{down: true}
 		v := newRolloutVM(ctx, "a", store)
+		v.order(ctx, "order", 2)
 		go v.serve(ctx, wqsend.Failed)
 		time.Sleep(8 * time.Second)
 		must.Eq(t, wqrollout.RolledBack, v.Plan().Rollouts["s"].Phase)
@@ -156,6 +170,63 @@
 	})
 }
 
+// Guards against a version that gets half of the requests between its registration and its
+// order, and against one that waits for an order for ever.
+func TestVersionWithoutAnOrderIsHeldForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		v := newRolloutVM(ctx, "a", &statusStore{})
+		register := func(version string, revision uint64) {
+			v.Deliver(ctx, wqmirror.Batch{Items: []wqmirror.Item{{Key: "searcher/" + version, Value: []byte(version), Revision: revision}}, StoreRevision: revision})
+		}
+		register("v1", 4)
+		time.Sleep(2 * time.Second)
+		must.MapLen(t, 0, v.Plan().Rollouts)
+		register("v2", 5)
+		must.Eq(t, wqrollout.Held, v.Plan().Rollouts["s"].Phase)
+		must.Eq(t, "v2", v.Plan().Rollouts["s"].Version)
+		time.Sleep(8 * time.Second)
+		must.MapLen(t, 0, v.Plan().Rollouts)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a service that is refused because an order names the version that it has
+// been moved to already.
+func TestRepeatedOrderOfACompletedVersionIsCompletedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := &statusStore{revision: 20, phases: []wqrollout.Phase{wqrollout.Completed}}
+		v := newRolloutVM(ctx, "a", store)
+		v.Deliver(ctx, wqmirror.Batch{Items: []wqmirror.Item{{Key: "status", Value: []byte{byte(wqrollout.Completed)}, Revision: 20}}, StoreRevision: 20})
+		v.order(ctx, "order", 21)
+		must.Eq(t, wqrollout.Completed, v.Plan().Rollouts["s"].Phase)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, []wqrollout.Phase{wqrollout.Completed, wqrollout.Completed}, store.written())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a version whose order was replaced and that counts as an old one from then
+// on.
+func TestVersionOfAReplacedOrderIsBarred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		v := newRolloutVM(ctx, "a", &statusStore{})
+		v.order(ctx, "order", 2)
+		v.order(ctx, "order v3", 9)
+		must.Eq(t, "v3", v.Plan().Rollouts["s"].Version)
+		must.Eq(t, []string{"v2"}, v.Plan().Rollouts["s"].Barred)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against an order that takes effect in a VM that hears nothing from a coordinator:
 // the new version must not be used.
 func TestNewVersionIsUnusedWithoutACoordinator(t *testing.T) {
