--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -62,6 +62,7 @@
 	fanOuts          *prometheus.CounterVec
 	peerBytes        *prometheus.CounterVec
 	statements       *prometheus.CounterVec
+	rolloutSends     *prometheus.CounterVec
 }
 
 // New returns metrics with their own Prometheus registry.
@@ -84,6 +85,8 @@
 	m.peerBytes = counter("peer_bytes_total", "Bytes of messages that this VM began, to and from other VMs, by kind and by the availability zone of the other VM.", []string{"kind", "zone"})
 	m.statements = counter("searcher_statements_total", "Changes of the state that searchers report about themselves, by service and new state.", []string{"service", "state"})
 	m.registry.MustRegister(m.statements)
+	m.rolloutSends = newRolloutSends()
+	m.registry.MustRegister(m.rolloutSends)
 	m.registry.MustRegister(m.callLatency, m.callCoverage, m.sends, m.failedSends, m.fanOuts, m.peerBytes)
 	m.registry.MustRegister(m.queryLatency, m.queryCoverage, m.queryExtraLoad, m.subQueriesNeeded, m.subQueriesSent, m.hedgesSent, m.refusals, m.writes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
