--- a/core/wqcost/estimator.go
+++ b/core/wqcost/estimator.go
@@ -27,21 +27,24 @@
 )
 
 const (
-	maxRoutes      = 1024             // bounds the memory: one more route clears all routes
-	maxOffsets     = 4096             // bounds the memory: when full, offsets without recent observations are dropped, and new attributes have none
-	offsetTime     = 60 * time.Second // time constant with which an offset returns to 0 without observations
-	staleAfter     = 60 * time.Second // an offset without observations for this long may be dropped
-	sweepInterval  = time.Second      // least time between two searches for offsets to drop
-	minBaseStep    = 0.02             // least weight of a new observation in the base of a route
-	minOffsetStep  = 0.01             // least weight of a new observation in an offset
-	offsetInertia  = 6                // observations until an offset moves as fast as a base does at first
-	maxResidual    = 1.0              // bounds what one observation moves, as a logarithm; a long request or a wrong response counts no more
-	maxOffset      = 3.0              // bounds each offset: a factor of 20
-	tenantTime     = 10 * time.Second // time constant of the counts that bound a client account's weight
-	maxTenants     = 256              // client accounts of a route that are counted separately; the others count as one
-	minTenantCount = 0.05             // a client account with a lower count is forgotten
-	maxPathBytes   = 128              // bytes of a path that are considered
-	pathSegments   = 2                // segments of the path that are an attribute, without its last one
+	maxRoutes        = 1024             // bounds the memory: one more route clears all routes
+	maxOffsets       = 4096             // bounds the memory: when full, offsets without recent observations are dropped, and new attributes have none
+	offsetTime       = 60 * time.Second // time constant with which an offset returns to 0 without observations
+	staleAfter       = 60 * time.Second // an offset without observations for this long may be dropped
+	sweepInterval    = time.Second      // least time between two searches for offsets to drop
+	minBaseStep      = 0.02             // least weight of a new observation in the base of a route
+	minOffsetStep    = 0.01             // least weight of a new observation in an offset
+	offsetInertia    = 6                // observations until an offset moves as fast as a base does at first
+	maxResidual      = 1.0              // bounds what one observation moves, as a logarithm; a long request or a wrong response counts no more
+	implausible      = -2.8             // logarithm of a cost so far below its estimate that the response may be false: a sixteenth
+	implausibleTrust = 0.05             // weight of such an observation
+	knownCount       = 30               // observations of a route from which its estimates are known
+	maxOffset        = 3.0              // bounds each offset: a factor of 20
+	tenantTime       = 10 * time.Second // time constant of the counts that bound a client account's weight
+	maxTenants       = 256              // client accounts of a route that are counted separately; the others count as one
+	minTenantCount   = 0.05             // a client account with a lower count is forgotten
+	maxPathBytes     = 128              // bytes of a path that are considered
+	pathSegments     = 2                // segments of the path that are an attribute, without its last one
 )
 
 // Kind holds the visible attributes of a request.
@@ -112,6 +115,11 @@
 	estimate := r.base + e.offsetSum(now, k)
 	residual := math.Log(bounded(float64(cost))) - estimate
 	weight := r.tenantWeight(now, k.Tenant)
+	trust := 1.0
+	if residual < implausible && r.count > knownCount {
+		trust = implausibleTrust
+	}
+	weight *= trust
 	r.costs.add(math.Exp(residual), weight)
 	r.untilNext--
 	if r.untilNext <= 0 {
@@ -127,7 +135,7 @@
 		}
 		step := weight
 		if i == 0 {
-			step = 1 // The account's own offset.
+			step = trust // The account's own offset.
 		}
 		o.decay(now)
 		o.count += step
--- a/core/wqwork/ledger.go
+++ b/core/wqwork/ledger.go
@@ -28,6 +28,8 @@
 	speedWeight   = 0.12            // weight of a new observation in the slowness
 	slownessDecay = 8 * time.Second // time constant with which the slowness returns to 1
 	maxSlowness   = 20              // bounds one observation, and the slowness
+	minSlowness   = 0.5             // searchers differ in speed by 1.6 times; one that seems faster than this answers wrongly
+	suspectShare  = 0.125           // an answer after less than this part of the cost may be wrong: it shows no speed, and its send counts as in flight for the whole cost, so that such a searcher does not get everything
 	ageWeight     = 2               // sends in flight that count as much as the slowness learned before
 	maxAge        = time.Minute     // a send without a deadline is forgotten after this time
 	maxEntries    = 16384           // bounds the memory: one more searcher clears all entries
@@ -120,7 +122,7 @@
 	}
 	slowness := e.currentSlowness(now, slots)
 	for _, s := range e.sends {
-		if s.owner == owner {
+		if s.owner == owner && owner != nil {
 			queued := max(0, s.wait-now.Sub(s.startedAt))
 			return queued + s.remaining(now, slowness), true
 		}
@@ -147,19 +149,22 @@
 	s.ledger.mutex.Lock()
 	defer s.ledger.mutex.Unlock()
 	e := s.entry
-	for i := range e.sends {
-		if e.sends[i] == s {
-			e.sends = append(e.sends[:i], e.sends[i+1:]...)
-			break
-		}
-	}
 	elapsed := now.Sub(s.startedAt)
 	mean := s.cost.Mean()
+	suspect := o == wqsend.Answered && elapsed < scaled(mean, suspectShare)
+	if suspect {
+		s.deadline, s.owner = s.startedAt.Add(mean), nil
+	} else if i := slices.Index(e.sends, s); i >= 0 {
+		e.sends = slices.Delete(e.sends, i, i+1)
+	}
 	if o != wqsend.Answered || elapsed <= 0 || mean <= 0 {
 		return 0, false
 	}
 	slowness := math.Exp(e.slownessAt(now))
 	ratio := float64(elapsed) / (float64(s.wait) + float64(mean))
+	if suspect {
+		ratio = 1
+	}
 	e.observe(now, ratio)
 	if float64(s.wait) > clearWait*float64(mean) {
 		return 0, false
@@ -168,7 +173,7 @@
 }
 
 func (e *entry) observe(now time.Time, ratio float64) {
-	ratio = min(max(ratio, 1.0/maxSlowness), maxSlowness)
+	ratio = min(max(ratio, minSlowness), maxSlowness)
 	e.slowness = (1-speedWeight)*e.slownessAt(now) + speedWeight*math.Log(ratio)
 	e.observedAt = now
 }
