--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -106,7 +106,7 @@
 	h.controller.BeforePublish = h.setConnectionLimits
 	h.controller.AfterPublish = client.WithdrawWaiting
 	h.relay = h.newRelay(peers)
-	h.setPlacement()
+	h.setPlacement(peers)
 	h.addGauges()
 	h.callerServer = &wqhttp.Server{Handler: h.callerHandler(), Timeouts: h.callerTimeouts, Log: h.Log}
 
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -63,7 +63,7 @@
 		protocols := new(http.Protocols)
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
-		peers := &http.Server{Handler: (&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer, RefusesFanOuts: h.relay.SendsEnded}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		peers := &http.Server{Handler: (&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer, RefusesFanOuts: h.relay.SendsEnded, Placement: h.placementHandler()}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
 		servers["peers"] = func() error { return peers.Serve(l) }
 	}
 	for name, serve := range servers {
--- a/core/wqcall/reply.go
+++ b/core/wqcall/reply.go
@@ -34,8 +34,9 @@
 	Stamps     []string // signatures of the merged answers, for calls to many shards
 	Missing    int      // number of shards that are left out of the merged answer
 	Sends      Sends
-	Hub        string `json:"-"` // id of the VM that ran the fan-out, empty for this one
-	HubZone    string `json:"-"` // availability zone of that VM
+	Hub        string    `json:"-"` // id of the VM that ran the fan-out, empty for this one
+	HubZone    string    `json:"-"` // availability zone of that VM
+	Placement  Placement `json:"-"` // why the first searcher was chosen
 }
 
 // Sends counts the requests that a call sent to searchers.
--- a/core/wqcost/estimator.go
+++ b/core/wqcost/estimator.go
@@ -56,6 +56,12 @@
 	BodyBytes int
 }
 
+// Shortened returns the attributes without the part of the path that is not considered.
+func (k Kind) Shortened() Kind {
+	k.Path = beginning(k.Path)
+	return k
+}
+
 // Estimator learns the costs of requests. It is safe for concurrent use.
 type Estimator struct {
 	mutex     sync.Mutex
--- a/core/wqplacer/placer_test.go
+++ b/core/wqplacer/placer_test.go
@@ -32,8 +32,8 @@
 	return &wqplacer.Request{Number: number, Service: "s", Zone: "a", Kind: wqcost.Kind{Route: "r"}, Typical: 100 * time.Millisecond, Remaining: 2 * time.Second}
 }
 
-func ended(number uint64, searcher string, o wqsend.Outcome) wqplacer.Report {
-	return wqplacer.Report{Request: wqplacer.Request{Number: number, Service: "s"}, Searcher: searcher, Ended: true, Outcome: o}
+func answered(number uint64, searcher string) wqplacer.Report {
+	return wqplacer.Report{Request: wqplacer.Request{Number: number, Service: "s"}, Searcher: searcher, Ended: true, Outcome: wqsend.Answered}
 }
 
 // Guards against VMs that all choose the same searcher because they don't see each
@@ -53,7 +53,7 @@
 	p, pools := wqplacer.New(), newPools("x", "y")
 	handle := func(at time.Time, m wqplacer.Message) wqplacer.Advice { return p.Handle(at, m, pools, 2, noNoise) }
 	first := handle(start, wqplacer.Message{From: "a", Request: request(1)}).Searcher
-	handle(start, wqplacer.Message{From: "a", Reports: []wqplacer.Report{ended(1, first, wqsend.Answered), ended(1, first, wqsend.Answered)}})
+	handle(start, wqplacer.Message{From: "a", Reports: []wqplacer.Report{answered(1, first), answered(1, first)}})
 	must.Eq(t, 0, p.InFlight(), must.Sprint("ended, and reported twice"))
 	handle(start, wqplacer.Message{From: "a", Request: request(2)})
 	handle(start, wqplacer.Message{From: "a", Reports: []wqplacer.Report{{Request: *request(2), Searcher: "y"}, {Request: *request(3), Searcher: "gone"}}})
@@ -74,7 +74,7 @@
 	late := start.Add(5 * time.Second)
 	reports := []wqplacer.Report{}
 	for i := range uint64(20) {
-		reports = append(reports, ended(i, "x", wqsend.Answered))
+		reports = append(reports, answered(i, "x"))
 	}
 	p.Handle(late, wqplacer.Message{From: "cut off", Reports: reports}, pools, 2, noNoise)
 	counts := make(map[string]int)
@@ -101,7 +101,7 @@
 		for len(inFlight) > 0 && !inFlight[0].until.After(now) {
 			s := inFlight[0]
 			inFlight = inFlight[1:]
-			p.Handle(s.until, wqplacer.Message{From: "a", Reports: []wqplacer.Report{ended(s.number, s.searcher, wqsend.Answered)}}, pools, 2, 0)
+			p.Handle(s.until, wqplacer.Message{From: "a", Reports: []wqplacer.Report{answered(s.number, s.searcher)}}, pools, 2, 0)
 		}
 		id := p.Handle(now, wqplacer.Message{From: "a", Request: request(i)}, pools, 2, i*0x9e3779b97f4a7c15).Searcher
 		if i == 100 {
--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -8,6 +8,7 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqplacer"
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqcontroller"
 	"wisteriaquay/io/wqheartbeat"
@@ -23,6 +24,9 @@
 	// RefusesFanOuts reports whether this VM runs no more fan-outs for others, because it
 	// stops; nil for never.
 	RefusesFanOuts func() bool
+	// Placement handles a message about the placement of requests; nil if this VM places
+	// by latency.
+	Placement func(wqplacer.Message) wqplacer.Advice
 }
 
 // Routes returns the handler of the peer listener.
@@ -32,6 +36,7 @@
 	mux.Handle(peers.PathPrefix(), compress(http.MaxBytesHandler(peers, wqheartbeat.MaxBytes)))
 	mux.Handle("GET "+itemsPath, compress(http.HandlerFunc(h.serveItems)))
 	mux.HandleFunc("POST "+fanOutPath, h.serveFanOut)
+	mux.HandleFunc("POST "+placementPath, h.servePlacement)
 	mux.HandleFunc("GET "+fanOutPath, func(http.ResponseWriter, *http.Request) {}) // Answers pings.
 	return mux
 }
--- a/io/wqrelay/cost.go
+++ b/io/wqrelay/cost.go
@@ -1,28 +1,32 @@
 package wqrelay
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqcost"
+	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqgather"
+	"wisteriaquay/core/wqplacer"
+	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 	"wisteriaquay/core/wqwork"
 )
 
-// CostPlacement is the state of the placement by cost: the searchers and hubs with the
-// least expected finish time get the requests. Relays without it place by latency.
-type CostPlacement struct {
-	Costs *wqcost.Estimator
-	Work  *wqwork.Ledger
-	Hubs  HubCosts
-}
-
-// NewCostPlacement returns a CostPlacement without observations.
-func NewCostPlacement() *CostPlacement {
-	return &CostPlacement{Costs: wqcost.New(), Work: wqwork.New(), Hubs: HubCosts{Costs: wqcost.New(), Work: wqwork.New()}}
+// placedRequest is what the placement by cost knows of one request. The zero value is
+// a request that is placed by latency.
+type placedRequest struct {
+	policy    wqselector.LeastWork // without the embedded LeastLatency
+	kind      wqcost.Kind
+	typical   time.Duration       // mean latency of the route
+	placer    *wqdirectory.Target // VM that places the requests of all VMs; nil for this VM alone
+	asked     wqplacer.Request
+	advice    wqplacer.Advice
+	placement wqcall.Placement
 }
 
 // costKind returns the visible attributes of a request.
@@ -30,24 +34,43 @@
 	return wqcost.Kind{Route: route.Name, Tenant: c.Tenant, Method: c.Method, Path: c.Path, BodyBytes: len(c.Body)}
 }
 
-// leastWork returns the policy for one request. It places by latency if the relay has
-// no CostPlacement.
-func (r *Relay[S, P]) leastWork(l wqselector.LeastLatency, c *wqcall.Call, route *wqroute.Route) wqselector.LeastWork {
-	p := wqselector.LeastWork{LeastLatency: l}
-	if r.CostPlacement == nil {
-		return p
+// place estimates the cost of a request and asks the placing VM of its service, if
+// there is one. It returns the zero value if the relay places by latency.
+func (r *Relay[S, P]) place(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route, services []string) placedRequest {
+	p := r.CostPlacement
+	if p == nil {
+		return placedRequest{}
+	}
+	q := placedRequest{kind: costKind(c, route), typical: r.latencies.Estimator(route.Name, route.Objective).MeanLatency()}
+	now := time.Now()
+	q.policy.Work, q.policy.Owner = p.Work, c
+	q.policy.Cost = p.Costs.Estimate(now, q.kind, q.typical)
+	q.placement = wqcall.Placement{By: p.VM, Cost: q.policy.Cost.Mean()}
+	if route.FanOut() || len(plan.Pools[services[0]]) < 2 || q.typical < minAskedLatency {
+		return q
 	}
-	mean := r.latencies.Estimator(route.Name, route.Objective).MeanLatency()
-	p.Work, p.Owner = r.CostPlacement.Work, c
-	p.Cost = r.CostPlacement.Costs.Estimate(time.Now(), costKind(c, route), mean)
-	return p
+	q.asked = wqplacer.Request{
+		Service: services[0], Zone: r.Zone, Kind: q.kind.Shortened(), Typical: q.typical, Remaining: c.Arrived.Add(maxDuration(c, route)).Sub(now),
+	}
+	q.placer = wqplacer.Choose(services[0], plan.Hubs)
+	if q.placer == nil {
+		return q
+	}
+	q.asked.Number = p.lastNumber.Add(1)
+	q.advice = p.ask(ctx, q.placer, q.asked)
+	q.policy.Advised, q.policy.AdvisedWait = q.advice.Searcher, q.advice.Wait
+	if q.advice.Searcher != "" {
+		q.placement = wqcall.Placement{By: q.placer.Searcher.ID, Searcher: q.advice.Searcher, Cost: q.advice.Cost, Wait: q.advice.Wait}
+	}
+	return q
 }
 
 // workSend is one send as the placement by cost sees it. The zero value records nothing.
 type workSend struct {
-	send  *wqwork.Send
-	costs *wqcost.Estimator
-	kind  wqcost.Kind
+	placement *CostPlacement
+	placed    *placedRequest
+	send      *wqwork.Send
+	report    wqplacer.Report
 }
 
 // startWork records the start of a send for the placement by cost.
@@ -56,12 +79,19 @@
 	if p == nil {
 		return workSend{}
 	}
-	kind := costKind(d.call, d.gather.Route)
-	cost := p.Costs.Estimate(now, kind, d.latency.MeanLatency())
-	send := p.Work.Start(now, wqwork.Start{
-		SearcherID: s.Target.Searcher.ID, Slots: s.Target.Searcher.Slots, Cost: cost, Owner: d.call, Deadline: d.gather.Deadline,
-	})
-	return workSend{send: send, costs: p.Costs, kind: kind}
+	t := s.Target.Searcher
+	w := workSend{placement: p, placed: &d.placed, report: wqplacer.Report{Request: d.placed.asked, Searcher: t.ID}}
+	w.send = p.Work.Start(now, wqwork.Start{SearcherID: t.ID, Slots: t.Slots, Cost: d.placed.policy.Cost, Owner: d.call, Deadline: d.gather.Deadline})
+	if d.placed.placer == nil {
+		return w
+	}
+	if first := s.ID == 1; !first {
+		w.report.Request.Number = p.lastNumber.Add(1)
+	} else if d.placed.advice.Searcher == t.ID {
+		return w // The placing VM assumes this send.
+	}
+	p.report(d.placed.placer, w.report)
+	return w
 }
 
 // done records the end of a send.
@@ -70,6 +100,26 @@
 		return
 	}
 	if cost, ok := w.send.Done(now, o); ok {
-		w.costs.Observe(now, w.kind, cost)
+		w.placement.Costs.Observe(now, w.placed.kind, cost)
+	}
+	if w.placed.placer == nil {
+		return
+	}
+	q := w.report.Request
+	w.report = wqplacer.Report{Request: wqplacer.Request{Number: q.Number, Service: q.Service}, Searcher: w.report.Searcher, Ended: true, Outcome: o}
+	w.placement.report(w.placed.placer, w.report)
+}
+
+// placementAttributes returns the log fields that tell why a request was sent where.
+func placementAttributes(p wqcall.Placement) []any {
+	if p.By == "" {
+		return nil
 	}
+	attributes := []any{slog.String("placed_by", p.By), slog.Float64("expected_ms", millis(p.Cost))}
+	if p.Searcher != "" {
+		attributes = append(attributes, slog.String("advised", p.Searcher), slog.Float64("wait_ms", millis(p.Wait)))
+	}
+	return attributes
 }
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -16,6 +16,7 @@
 	relay      *Relay[S, P]
 	call       *wqcall.Call
 	latency    *wqlatency.Estimator
+	placed     placedRequest
 	gather     *wqgather.Gather[searcherPicker, hedgePolicy]
 	results    chan sendResult
 	replied    chan struct{} // closed when the request has its reply
@@ -34,7 +35,7 @@
 func (d *driver[S, P]) run(ctx context.Context) wqcall.Reply {
 	defer close(d.replied)
 	reply := d.runToEnd(ctx)
-	reply.Sends = d.sendCounts
+	reply.Sends, reply.Placement = d.sendCounts, d.placed.placement
 	return reply
 }
 
--- a/io/wqrelay/record.go
+++ b/io/wqrelay/record.go
@@ -32,6 +32,7 @@
 	if reply.Hub != "" {
 		attributes = append(attributes, slog.String("hub", reply.Hub), slog.String("hub_zone", reply.HubZone))
 	}
+	attributes = append(attributes, placementAttributes(reply.Placement)...)
 	if reply.Missing > 0 {
 		attributes = append(attributes, slog.Int("missing", reply.Missing))
 	}
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -179,12 +179,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	latency := r.latencies.Estimator(route.Name, route.Objective)
+	placed := r.place(ctx, c, plan, route, services)
 	d := &driver[S, P]{
-		relay: r, call: c, latency: latency, cancels: make(map[int]context.CancelFunc),
+		relay: r, call: c, latency: latency, placed: placed, cancels: make(map[int]context.CancelFunc),
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
 		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
-			Picker:      r.newPicker(sharerCount, c, route),
+			Picker:      r.newPicker(sharerCount, placed),
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
--- a/test/wqplacementmodel/leastwork.go
+++ b/test/wqplacementmodel/leastwork.go
@@ -6,6 +6,7 @@
 
 	"wisteriaquay/core/wqcost"
 	"wisteriaquay/core/wqgather"
+	"wisteriaquay/core/wqplacer"
 	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 	"wisteriaquay/core/wqwork"
@@ -18,6 +19,8 @@
 type LeastWork struct {
 	Sharing Sharing
 	common  workState
+	placer  *wqplacer.Placer
+	numbers uint64
 }
 
 // Sharing is what the VMs know of each other's sends.
@@ -43,45 +46,55 @@
 
 type leastWorkVM struct {
 	workState
-	common  workState // of the placing VM
-	sharing Sharing
-	model   *Model
-	zone    string
+	policy *LeastWork
+	model  *Model
+	zone   string
 }
 
 // NewVM implements Policy.
 func (l *LeastWork) NewVM(m *Model, index int, zone string) VMPolicy {
 	if index == 0 {
-		l.common = newWorkState()
+		l.common, l.placer = newWorkState(), wqplacer.New()
 	}
-	v := &leastWorkVM{workState: l.common, common: l.common, sharing: l.Sharing, model: m, zone: zone}
+	v := &leastWorkVM{workState: l.common, policy: l, model: m, zone: zone}
 	if l.Sharing != Instant {
 		v.workState = newWorkState()
 	}
 	return v
 }
 
-// Delay has the placing VM, which is in the first zone, place the request.
-func (v *leastWorkVM) Delay(q *request) time.Duration {
-	if v.sharing != OnePlace {
-		return 0
+// newRequest returns what the placing VM is told of a send.
+func (v *leastWorkVM) newRequest(q *request) wqplacer.Request {
+	v.policy.numbers++
+	return wqplacer.Request{
+		Number: v.policy.numbers, Service: v.model.services[0], Zone: v.zone, Kind: q.attributes(),
+		Typical: v.model.Fleet.Objective / 6, Remaining: q.arrived.Add(v.model.Fleet.Timeout).Sub(v.model.now),
 	}
+}
+
+// tell passes a message to the placing VM, which is in the first zone, and returns the
+// time that it takes there.
+func (v *leastWorkVM) tell(message wqplacer.Message, receive func(wqplacer.Advice)) time.Duration {
 	m, way := v.model, networkDelay(v.zone, zoneName(0))
 	m.at(m.now.Add(way), func() {
-		p := v.picker(v.common, q)
-		t := p.Pick(m.now, m.pools[m.services[0]], nil, m.Fleet.Work, m.random.Uint64())
-		if t != nil {
-			q.advised = t.Searcher.ID
-			_, q.advisedWait = v.common.ledger.Finish(m.now, t.Searcher.ID, t.Searcher.Slots, p.Cost)
-			q.placed = v.common.start(m, q, t.Searcher.ID, t.Searcher.Slots)
-		}
+		receive(v.policy.placer.Handle(m.now, message, m.pools, m.Fleet.VMs, m.random.Uint64()))
 	})
-	return 2*way + placerTime
+	return way
+}
+
+// Delay has the placing VM place the request.
+func (v *leastWorkVM) Delay(q *request) time.Duration {
+	if v.policy.Sharing != OnePlace {
+		return 0
+	}
+	r := v.newRequest(q)
+	q.placed = &r
+	return 2*v.tell(wqplacer.Message{Request: &r}, func(a wqplacer.Advice) { q.advice = a }) + placerTime
 }
 
 func (v *leastWorkVM) Picker(q *request) wqgather.Picker {
 	p := v.picker(v.workState, q)
-	p.Advised, p.AdvisedWait = q.advised, q.advisedWait
+	p.Advised, p.AdvisedWait = q.advice.Searcher, q.advice.Wait
 	return p
 }
 
@@ -111,8 +124,8 @@
 	inFlight := v.tracker.Start(m.now, id)
 	send := v.start(m, q, id, slots)
 	report := func(wqsend.Outcome) {}
-	if v.sharing == OnePlace {
-		report = v.report(q, id, slots)
+	if v.policy.Sharing == OnePlace {
+		report = v.report(q, id)
 	}
 	return func(now time.Time, o wqsend.Outcome) {
 		inFlight.Done(now, o, q.latency.MeanLatency())
@@ -121,20 +134,19 @@
 	}
 }
 
-// report tells the placing VM of a send, and returns the function that tells it of its
-// end.
-func (v *leastWorkVM) report(q *request, id string, slots int) func(wqsend.Outcome) {
-	m, way := v.model, networkDelay(v.zone, zoneName(0))
-	placed := q.placed
-	q.placed = nil
-	if placed == nil || q.advised != id {
-		if placed != nil {
-			m.at(m.now.Add(way), func() { placed.Done(m.now, wqsend.Withheld) })
-		}
-		m.at(m.now.Add(way), func() { placed = v.common.start(m, q, id, slots) })
+// report tells the placing VM of a send, if that is not the one that it placed, and
+// returns the function that tells it of its end.
+func (v *leastWorkVM) report(q *request, id string) func(wqsend.Outcome) {
+	r := q.placed
+	if q.placed = nil; r == nil {
+		other := v.newRequest(q)
+		r = &other
+	}
+	if q.advice.Searcher != id || q.sends[1] != nil {
+		v.tell(wqplacer.Message{Reports: []wqplacer.Report{{Request: *r, Searcher: id}}}, func(wqplacer.Advice) {})
 	}
 	return func(o wqsend.Outcome) {
-		m.at(m.now.Add(way), func() { v.common.done(q, placed, m.now, o) })
+		v.tell(wqplacer.Message{Reports: []wqplacer.Report{{Request: *r, Searcher: id, Ended: true, Outcome: o}}}, func(wqplacer.Advice) {})
 	}
 }
 
--- a/test/wqplacementmodel/request.go
+++ b/test/wqplacementmodel/request.go
@@ -5,9 +5,9 @@
 
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqlatency"
+	"wisteriaquay/core/wqplacer"
 	"wisteriaquay/core/wqretryquota"
 	"wisteriaquay/core/wqsend"
-	"wisteriaquay/core/wqwork"
 )
 
 // request is one request of a client, driven as io/wqrelay drives it.
@@ -19,14 +19,13 @@
 	arrived time.Time
 	work    []time.Duration // for each service
 
-	gather      *wqgather.Gather[wqgather.Picker, hedgePolicy]
-	latency     *wqlatency.Estimator
-	wakeAt      time.Time
-	sends       map[int]*send
-	ended       bool
-	advised     string // searcher that the placing VM chose
-	advisedWait time.Duration
-	placed      *wqwork.Send // the send that it assumed
+	gather  *wqgather.Gather[wqgather.Picker, hedgePolicy]
+	latency *wqlatency.Estimator
+	wakeAt  time.Time
+	sends   map[int]*send
+	ended   bool
+	advice  wqplacer.Advice // of the placing VM, and the send that it is for
+	placed  *wqplacer.Request
 }
 
 // send is one send of a request, with the searcher's job.
