--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -8,6 +8,7 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqfault"
+	"wisteriaquay/core/wqplacer"
 	"wisteriaquay/core/wqquota"
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqcontroller"
@@ -24,6 +25,9 @@
 	// RefusesFanOuts reports whether this VM runs no more fan-outs for others, because it
 	// stops; nil for never.
 	RefusesFanOuts func() bool
+	// Placement handles a message about the placement of requests; nil if this VM places
+	// by latency.
+	Placement func(wqplacer.Message) wqplacer.Advice
 	// HandleQuota handles a message on quotas; nil if this VM keeps none.
 	HandleQuota func(m wqquota.Message) wqquota.Reply
 }
@@ -37,6 +41,7 @@
 	mux.HandleFunc("POST "+rolloutsPath, h.serveRollouts)
 	mux.HandleFunc("POST "+quotaPath, h.serveQuota)
 	mux.HandleFunc("POST "+fanOutPath, h.serveFanOut)
+	mux.HandleFunc("POST "+placementPath, h.servePlacement)
 	mux.HandleFunc("GET "+fanOutPath, func(http.ResponseWriter, *http.Request) {}) // Answers pings.
 	return mux
 }
--- a/io/wqrelay/picker.go
+++ b/io/wqrelay/picker.go
@@ -3,13 +3,11 @@
 import (
 	"time"
 
-	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqcanary"
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqexclusion"
 	"wisteriaquay/core/wqgather"
 	"wisteriaquay/core/wqrollout"
-	"wisteriaquay/core/wqroute"
 	"wisteriaquay/core/wqselector"
 	"wisteriaquay/core/wqsend"
 )
@@ -20,13 +18,12 @@
 
 // newPicker returns the policy for one request. SenderCount is the number of VMs that
 // send to the same searchers.
-func (r *Relay[S, P]) newPicker(senderCount int, c *wqcall.Call, route *wqroute.Route) searcherPicker {
+func (r *Relay[S, P]) newPicker(senderCount int, route string, placed placedRequest) searcherPicker {
+	p := placed.policy
+	p.LeastLatency = wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount}
 	return searcherPicker{
-		Inner: wqexclusion.Picker[wqselector.LeastWork]{
-			Inner:      r.leastWork(wqselector.LeastLatency{Tracker: r.Tracker, Zone: r.Zone, SenderCount: senderCount}, c, route),
-			Statements: r.Statements,
-		},
-		Meter: r.Canary, Route: route.Name, Directives: r.directives,
+		Inner: wqexclusion.Picker[wqselector.LeastWork]{Inner: p, Statements: r.Statements},
+		Meter: r.Canary, Route: route, Directives: r.directives,
 	}
 }
 
