--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 GO ?= go
 MODULES := ./core/... ./io/... ./platform/... ./cmd/... ./test/...
+# Tests that put a VM under more load than its limits allow. They run after all others,
+# because they would take the processor from them.
+OVERLOAD_TESTS := ./test/crowd
 # Tests that KNOWN-RED.txt names are passed over.
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 LINT_VERSION := v2.15.0
 LINT := bin/golangci-lint-$(LINT_VERSION)
 
@@ -16,7 +20,8 @@
 # The race detector is on; seeds are fixed; no test asserts a wall-clock time
 # that the machine alone decides.
 test:
-	$(GO) test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(MODULES)
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list $(MODULES) | grep -vxF wisteriaquay$(OVERLOAD_TESTS:.%=%))
+	$(GO) test -race -count=1 -timeout 10m $(SKIP) $(OVERLOAD_TESTS)
 
 # Each fuzz target, given as package:name, runs for FUZZ_TIME. Inputs that fail are
 # written to testdata of the package; commit them as seeds.
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -35,6 +35,9 @@
 type Options struct {
 	VMs    int
 	Shards int // Shards is the number of shards of the fan-out route, each with one searcher in zone a and one in zone b.
+
+	MemoryMegabytes int // MemoryMegabytes is the memory of a VM that its settings state, in 10^6 bytes; 0 means MemoryLimit.
+	MaxDescriptors  int // MaxDescriptors is the number of descriptors that the settings of a VM state; 0 states none.
 }
 
 // VM is one process of the program under test.
@@ -43,6 +46,8 @@
 	Zone             string
 	CallerAddress    string
 	ReadinessAddress string
+	PeerAddress      string
+	MetricsAddress   string
 	StoreProxy       *wqproxy.Proxy // StoreProxy injects faults between this VM and the store.
 	fleet            *Fleet
 	settingsPath     string
@@ -85,7 +90,7 @@
 		controlAddresses[i] = wqprocess.FreeAddress(t)
 	}
 	for i := range o.VMs {
-		f.addVM(i, controlAddresses)
+		f.addVM(i, controlAddresses, o)
 	}
 	return f
 }
@@ -151,16 +156,25 @@
 	return len(f.replies)
 }
 
-func (f *Fleet) addVM(i int, controlAddresses []string) {
+func (f *Fleet) addVM(i int, controlAddresses []string, o Options) {
 	proxy, release := wqproxy.New(f.t, strings.TrimPrefix(f.Store.URL, "http://"))
 	f.t.Cleanup(release)
 	vm := &VM{
 		Name: fmt.Sprintf("front-%d", i), Zone: string(rune('a' + i%3)), fleet: f, StoreProxy: proxy,
 		CallerAddress: wqprocess.FreeAddress(f.t), ReadinessAddress: wqprocess.FreeAddress(f.t),
+		PeerAddress: controlAddresses[i], MetricsAddress: wqprocess.FreeAddress(f.t),
 	}
 	vm.settingsPath = filepath.Join(f.t.TempDir(), "boot.toml")
 	seeds := `"` + strings.Join(controlAddresses[:min(3, len(controlAddresses))], `","`) + `"`
-	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.CallerAddress, vm.ReadinessAddress, controlAddresses[i], shutdownGraceSeconds, MemoryLimit>>20, proxy.Address())
+	memory := o.MemoryMegabytes
+	if memory == 0 {
+		memory = MemoryLimit >> 20
+	}
+	limits := fmt.Sprintf("memoryMb = %d", memory)
+	if o.MaxDescriptors > 0 {
+		limits += fmt.Sprintf("\nmaxFds = %d", o.MaxDescriptors)
+	}
+	settings := fmt.Sprintf(settingsTemplate, vm.Name, vm.Zone, seeds, vm.metricsPort(), vm.CallerAddress, vm.ReadinessAddress, vm.PeerAddress, shutdownGraceSeconds, limits, proxy.Address())
 	must.NoError(f.t, os.WriteFile(vm.settingsPath, []byte(settings), 0o600))
 	f.VMs = append(f.VMs, vm)
 	vm.Start()
@@ -175,14 +189,15 @@
 zone = %q
 region = "r"
 seeds = [%s]
+internalPorts = [%[4]s,%[4]s]
 heartbeatMs = 1200
 unknownField = { a = 1 }
 [listenAddrs]
-front = %q
-ready = %q
-control = %q
+front = %[5]q
+ready = %[6]q
+control = %[7]q
 [bounds]
-graceS = %d
+graceS = %[8]d
 configApplyMs = 3000
 drainMs = 3000
 evacuateMs = 5000
@@ -192,16 +207,16 @@
 warmupOvershoot = 1.5
 warmupSlack = 5
 [limits]
-memoryMb = %d
+%[9]s
 [platform]
-address = %q
+address = %[10]q
 `
 
 // Start starts the process, for the first time or again after its end.
 func (vm *VM) Start() {
 	log, err := os.OpenFile(vm.settingsPath+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must.NoError(vm.fleet.t, err)
-	vm.cmd = exec.CommandContext(context.Background(), vm.fleet.program, "host", "--settings", vm.settingsPath, "--log-per-second", "1000")
+	vm.cmd = exec.CommandContext(context.Background(), vm.fleet.program, "host", "--settings", vm.settingsPath, "--log-per-second", "1000", "--metrics-port", vm.metricsPort())
 	vm.cmd.Stdout, vm.cmd.Stderr = log, log
 	must.NoError(vm.fleet.t, vm.cmd.Start())
 	vm.exited = make(chan struct{})
@@ -212,6 +227,20 @@
 	}(vm.cmd, vm.exited)
 }
 
+// metricsPort returns the port of the metrics listener.
+func (vm *VM) metricsPort() string {
+	_, port, _ := strings.Cut(vm.MetricsAddress, ":")
+	return port
+}
+
+// OpenDescriptors returns the number of descriptors that the running process has
+// open.
+func (vm *VM) OpenDescriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", vm.cmd.Process.Pid))
+	must.NoError(vm.fleet.t, err)
+	return len(entries)
+}
+
 // Signal sends a signal to the process, or does nothing if it has exited.
 func (vm *VM) Signal(s syscall.Signal) {
 	select {
--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -28,6 +28,7 @@
 	Truncate       bool // Truncate closes the connection before the last 3 bytes of every answer.
 	Hang           bool // Hang delays every answer by a minute, longer than any deadline.
 	Fail           bool // Fail answers every request with status 500.
+	ResponseBytes  int  // ResponseBytes, if above 0, makes the body of every answer this many zero bytes.
 	EndlessHead    bool // EndlessHead answers with header lines without end.
 	EndlessBody    bool // EndlessBody answers with a body without end.
 }
@@ -151,6 +152,9 @@
 
 func (s *Searcher) respond(w http.ResponseWriter, b Behaviour, id string) {
 	code, body := http.StatusOK, ResponseBody(s.Service, id)
+	if b.ResponseBytes > 0 {
+		body = make([]byte, b.ResponseBytes)
+	}
 	if b.Fail {
 		code, body = http.StatusInternalServerError, nil
 	}
