Hold memory for clients within a budget, and bound headers, connections and descriptors

Clients that exceed every limit ended the process: the HTTP server took 1 MB of headers whatever was configured, bodies were read whole before the route was known, and nothing bounded their sum, the replies that wait for clients, or the connections.

core/wqmemorybudget decides which connection gets bytes, which is refused and which is closed. io/wqhttp serves all four listeners with it, and applies MaxHeaderBytes of the configuration in force (431) and the header time to the first request of a connection too. platform/wqingress reserves memory for a request, its sends and the expected responses before it reads the body, refuses with 503 and Retry-After what finds none, and does not read bodies without a route. io/wqpeer does the same for other VMs, with 5 s for a body. Connections are bounded by a share of the descriptors in the settings.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -74,6 +74,7 @@
 	callerServer     *wqhttp.Server
 	searcherClient   *wqtarget.Client
 	connectionLimits map[string]connectionLimit // By service; owned by the control goroutine.
+	warnedVersion    uint64                     // Configuration whose limits were checked; owned by the control goroutine.
 	storeUnreachable atomic.Bool                // True while the store does not answer this VM.
 	peerFanOuts      atomic.Int64               // Number of fan-outs in progress for other VMs.
 }
@@ -106,7 +107,7 @@
 	h.controller.AfterPublish = client.WithdrawWaiting
 	h.relay = h.newRelay(peers)
 	h.addGauges()
-	h.callerServer = &wqhttp.Server{Handler: h.callerHandler(), Timeouts: h.callerTimeouts, Log: h.Log}
+	h.callerServer = h.newCallerServer()
 
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -176,7 +177,7 @@
 
 // callerHandler returns the HTTP handler of callers' requests.
 func (h *Host) callerHandler() http.Handler {
-	handler := &wqingress.Handler{Serve: h.relay.Serve, Reject: h.relay.Reject, MaxDuration: h.relay.MaxDuration, MaxBodyBytes: h.maxBodyBytes}
+	handler := &wqingress.Handler{Serve: h.relay.Serve, Reject: h.relay.Reject, MaxDuration: h.relay.MaxDuration, MaxBodyBytes: h.maxBodyBytes, Route: h.route}
 	return wqstop.CloseWhenStopping(handler, func() bool { return h.controller.Plan().Stopping })
 }
 
@@ -217,6 +218,7 @@
 	if p.Table == nil {
 		return
 	}
+	h.warnOfLimits(p.Table)
 	limits := make(map[string]connectionLimit, len(p.Pools))
 	shards := p.Table.ShardServices()
 	for service, targets := range p.Pools {
--- a/cmd/wqhost/listen.go
+++ b/cmd/wqhost/listen.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	readinessServer := &http.Server{Handler: h.readinessHandler(), ReadHeaderTimeout: headerTimeout}
+	readinessServer := h.newCheckServer("readiness", h.readinessHandler())
 	servers := map[string]func() error{
 		"callers":   func() error { return h.callerServer.Serve(callerListener) },
 		"readiness": func() error { return readinessServer.Serve(readinessListener) },
@@ -52,7 +52,7 @@
 		if err != nil {
 			return nil, err
 		}
-		metrics := &http.Server{Handler: h.metrics.Handler(), ReadHeaderTimeout: headerTimeout}
+		metrics := h.newCheckServer("metrics", h.metrics.Handler())
 		servers["metrics"] = func() error { return metrics.Serve(l) }
 	}
 	if h.Settings.PeerAddress != "" {
@@ -60,10 +60,7 @@
 		if err != nil {
 			return nil, err
 		}
-		protocols := new(http.Protocols)
-		protocols.SetHTTP1(true)
-		protocols.SetUnencryptedHTTP2(true)
-		peers := &http.Server{Handler: (&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer, RefusesFanOuts: h.relay.SendsEnded}).Routes(), Protocols: protocols, ReadHeaderTimeout: headerTimeout}
+		peers := h.newPeerServer((&wqpeer.Handler{Controller: h.controller, ServeRoute: h.runFanOutForPeer, RefusesFanOuts: h.relay.SendsEnded}).Routes())
 		servers["peers"] = func() error { return peers.Serve(l) }
 	}
 	for name, serve := range servers {
--- a/io/wqpeer/fanout.go
+++ b/io/wqpeer/fanout.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,7 +15,9 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqmemorybudget"
 	"wisteriaquay/core/wqroute"
+	"wisteriaquay/io/wqhttp"
 	"wisteriaquay/io/wqrelay"
 )
 
@@ -144,25 +147,47 @@
 func (h *Handler) serveFanOut(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	var request fanOutRequest
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFanOutBytes)).Decode(&request); err != nil || !request.valid() {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFanOutBytes)).Decode(&request)
+	switch {
+	case errors.Is(err, wqhttp.ErrNoMemory):
+		refuseForMemory(w)
+		return
+	case err != nil || !request.valid():
 		http.Error(w, "the request for a fan-out is malformed; run the same release on all VMs", http.StatusBadRequest)
 		return
 	}
+	if b, ok := r.Body.(*meteredBody); ok {
+		b.end() // The decoder doesn't read to the end.
+	}
 	if h.RefusesFanOuts != nil && h.RefusesFanOuts() {
 		http.Error(w, "this VM stops; send the fan-out to another hub", http.StatusServiceUnavailable)
 		return
 	}
+	conn, cost := wqhttp.ConnectionOf(r.Context()), fanOutCost(&request)
+	if !conn.Reserve(cost) {
+		refuseForMemory(w)
+		return
+	}
+	defer conn.Release(cost)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return // The sender has closed the connection.
 	}
+	h.runFanOut(w, r, &request, arrived)
+}
+
+// runFanOut runs a call for another VM and sends the reply.
+func (h *Handler) runFanOut(w http.ResponseWriter, r *http.Request, request *fanOutRequest, arrived time.Time) {
 	reply := h.ServeRoute(r.Context(), &wqcall.Call{
 		ID: request.ID, Method: request.Method, Host: request.Host, Path: request.Path, Query: request.Query, Header: request.Header, Body: request.Body,
 		Arrived: arrived.Add(-time.Duration(request.ElapsedMicros) * time.Microsecond), Timeout: time.Duration(request.WaitMicros) * time.Microsecond,
 	}, request.Route)
-	if reply.Status == wqcall.CallerGone {
+	conn, held := wqhttp.ConnectionOf(r.Context()), decodedFactor*int64(len(reply.Body))
+	if reply.Status == wqcall.CallerGone || !conn.Charge(held) {
 		panic(http.ErrAbortHandler)
 	}
+	defer conn.Release(held)
+	conn.SetPhase(wqmemorybudget.Replying)
 	_ = json.NewEncoder(w).Encode(reply) // On an error the sender gets an incomplete reply.
 }
--- a/io/wqpeer/handler.go
+++ b/io/wqpeer/handler.go
@@ -11,6 +11,7 @@
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqcontroller"
 	"wisteriaquay/io/wqheartbeat"
+	"wisteriaquay/io/wqhttp"
 	"wisteriaquay/io/wqpb"
 	"wisteriaquay/io/wqtwirperror"
 )
@@ -33,7 +34,7 @@
 	mux.Handle("GET "+itemsPath, compress(http.HandlerFunc(h.serveItems)))
 	mux.HandleFunc("POST "+fanOutPath, h.serveFanOut)
 	mux.HandleFunc("GET "+fanOutPath, func(http.ResponseWriter, *http.Request) {}) // Answers pings.
-	return mux
+	return limitMemory(mux)
 }
 
 // serveItems returns the items that changed after a store revision.
@@ -48,6 +49,16 @@
 		http.Error(w, "this VM is stopping; fetch from another one", http.StatusServiceUnavailable)
 		return
 	}
+	held := int64(0)
+	for _, i := range b.Items {
+		held += decodedFactor * int64(len(i.Key)+len(i.Value))
+	}
+	conn := wqhttp.ConnectionOf(r.Context())
+	if !conn.Reserve(held) {
+		refuseForMemory(w)
+		return
+	}
+	defer conn.Release(held)
 	reply := itemBatch{AsOf: b.StoreRevision, Whole: b.Full, Items: make([]item, 0, len(b.Items))}
 	asText := r.URL.Query().Has(textParameter)
 	for _, i := range b.Items {
