Keep connections that had a request over those that never end one; bound descriptors of all parts

With 400 abusive clients beside 40 ordinary ones, the ordinary ones lost half of their requests: at the limit of connections the one without progress for the longest time was closed, which is that of a client between two requests, and memory of a closed connection counted as free before its goroutine had ended. New connections that have sent nothing or hold much now go first, connections that hold little are closed for memory only when there are many, and memory is given back when the server has finished with the connection. The body of a refused request is read for 500 ms at most; peers get the refusal instead of a reset. Connections to searchers are bounded by the descriptors that the listeners leave.

--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -74,6 +74,7 @@
 	callerServer     *wqhttp.Server
 	searcherClient   *wqtarget.Client
 	connectionLimits map[string]connectionLimit // By service; owned by the control goroutine.
+	descriptors      float64                    // Descriptors that this process may have open; set before the listeners are.
 	warnedVersion    uint64                     // Configuration whose limits were checked; owned by the control goroutine.
 	storeUnreachable atomic.Bool                // True while the store does not answer this VM.
 	peerFanOuts      atomic.Int64               // Number of fan-outs in progress for other VMs.
@@ -220,7 +221,7 @@
 	}
 	h.warnOfLimits(p.Table)
 	limits := make(map[string]connectionLimit, len(p.Pools))
-	shards := p.Table.ShardServices()
+	shards, mostConnections := p.Table.ShardServices(), h.maxConnectionsPerSearcher(p)
 	for service, targets := range p.Pools {
 		sharers, isSharer := max(p.FleetSize, 1), true
 		if shards[service] {
@@ -230,7 +231,7 @@
 		if accepted <= 0 {
 			accepted = defaultConnections
 		}
-		share := max(1, int(float64(accepted)*(1-connectionReserve)/float64(sharers)))
+		share := min(max(1, int(float64(accepted)*(1-connectionReserve)/float64(sharers))), mostConnections)
 		if !isSharer {
 			share = 1
 		}
--- a/cmd/wqhost/memory.go
+++ b/cmd/wqhost/memory.go
@@ -1,6 +1,7 @@
 package wqhost
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -8,8 +9,10 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqmemorybudget"
+	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqroute"
 	"wisteriaquay/io/wqhttp"
+	"wisteriaquay/platform/wqboot"
 )
 
 const (
@@ -18,23 +21,27 @@
 	ownMemory = 32 << 20
 	// heldShare is the part of the other memory that may be held for clients. The rest is
 	// for searchers' responses, and for garbage: GOGC lets the heap double.
-	heldShare     = 0.3
+	heldShare     = 0.35
 	assumedMemory = 512 << 20 // Memory of the VM if the settings don't state it.
+	minMemory     = 64 << 20  // Smallest memory of a VM, and with minDescriptors the smallest for the limits below.
 	minHeldBytes  = 2 << 20   // Smallest memory for the clients of one listener.
 
 	// The parts of the memory for clients. Each listener has its own, so that the balancer
 	// and other VMs are served while callers use up theirs.
-	callerMemoryShare = 0.65
-	peerMemoryShare   = 0.25
+	callerMemoryShare = 0.55
+	peerMemoryShare   = 0.35
 	checkMemoryShare  = 0.05 // Of the readiness and of the metrics listener each.
 
 	// The parts of the descriptors. The rest is for connections to searchers, the store and
 	// peers.
-	callerDescriptorShare = 0.4
+	callerDescriptorShare = 0.35
 	peerDescriptorShare   = 0.25
 	checkDescriptorShare  = 0.03 // Of the readiness and of the metrics listener each.
 	maxCheckConnections   = 64
+	connectionsPerPeer    = 6  // To and from each other VM: heartbeats, items and fan-outs.
+	ownDescriptors        = 64 // Files, listeners, and connections to the store.
 
+	minDescriptors     = 256
 	assumedDescriptors = 1024 // If neither the settings nor the system state a number.
 	peerHeaderBytes    = 64 << 10
 	checkHeaderBytes   = 16 << 10
@@ -51,18 +58,33 @@
 	return heldShare * float64(memory-ownMemory)
 }
 
-// maxDescriptors returns the number of descriptors that this process may have open.
-func (h *Host) maxDescriptors() float64 {
+// maxDescriptors returns the number of descriptors that a process may have open.
+func maxDescriptors(s *wqboot.Settings) float64 {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 {
 		limit.Cur = assumedDescriptors
 	}
-	if n := h.Settings.MaxDescriptors; n > 0 && uint64(n) < limit.Cur {
+	if n := s.MaxDescriptors; n > 0 && uint64(n) < limit.Cur {
 		return float64(n)
 	}
 	return float64(limit.Cur)
 }
 
+// maxConnectionsPerSearcher returns how many connections to each searcher the descriptors
+// allow, at least 1.
+func (h *Host) maxConnectionsPerSearcher(p *wqplan.Plan) int {
+	if h.descriptors == 0 {
+		return math.MaxInt // Not known.
+	}
+	searchers := 0
+	for _, targets := range p.Pools {
+		searchers += len(targets)
+	}
+	left := h.descriptors*(1-callerDescriptorShare-2*checkDescriptorShare) - ownDescriptors
+	left -= min(float64(connectionsPerPeer*p.FleetSize), peerDescriptorShare*h.descriptors)
+	return max(int(left)/max(searchers, 1), 1)
+}
+
 // newBudget returns the budget of one listener with these shares of the memory and the
 // descriptors, and adds its gauges.
 func (h *Host) newBudget(name string, memoryShare float64, connections int) *wqmemorybudget.Budget[*wqhttp.Connection] {
@@ -78,11 +100,23 @@
 	return b
 }
 
+// warnOfSettings logs when the VM is smaller than the limits are made for.
+func (h *Host) warnOfSettings() {
+	if n := h.Settings.MemoryLimit; n > 0 && n < minMemory {
+		h.Log.Warn("the memory of the VM leaves little for clients; use a larger VM", "memory_bytes", n, "least_bytes", minMemory)
+	}
+	if n := int(h.descriptors); n < minDescriptors {
+		h.Log.Warn("the VM may have few connections; raise the limit of descriptors", "max_descriptors", n, "least", minDescriptors)
+	}
+}
+
 // newCallerServer returns the server of the callers' listener.
 func (h *Host) newCallerServer() *wqhttp.Server {
+	h.descriptors = maxDescriptors(h.Settings)
+	h.warnOfSettings()
 	return &wqhttp.Server{
 		Name: "callers", Handler: h.callerHandler(), Timeouts: h.callerTimeouts, MaxHeaderBytes: h.maxHeaderBytes,
-		Budget: h.newBudget("callers", callerMemoryShare, int(callerDescriptorShare*h.maxDescriptors())), Log: h.Log,
+		Budget: h.newBudget("callers", callerMemoryShare, int(callerDescriptorShare*h.descriptors)), Log: h.Log,
 	}
 }
 
@@ -91,7 +125,7 @@
 	return &wqhttp.Server{
 		Name: "peers", Handler: handler, HTTP2: true, MaxHeaderBytes: func() int { return peerHeaderBytes },
 		Timeouts: func() wqhttp.Timeouts { return wqhttp.Timeouts{Header: headerTimeout, Idle: peerIdleTimeout} },
-		Budget:   h.newBudget("peers", peerMemoryShare, int(peerDescriptorShare*h.maxDescriptors())), Log: h.Log,
+		Budget:   h.newBudget("peers", peerMemoryShare, int(peerDescriptorShare*h.descriptors)), Log: h.Log,
 	}
 }
 
@@ -101,7 +135,7 @@
 	return &wqhttp.Server{
 		Name: name, Handler: wqhttp.LeaveBodies(handler), MaxHeaderBytes: func() int { return checkHeaderBytes },
 		Timeouts: func() wqhttp.Timeouts { return wqhttp.Timeouts{Header: headerTimeout, Idle: checkIdleTimeout} },
-		Budget:   h.newBudget(name, checkMemoryShare, min(int(checkDescriptorShare*h.maxDescriptors()), maxCheckConnections)), Log: h.Log,
+		Budget:   h.newBudget(name, checkMemoryShare, min(int(checkDescriptorShare*h.descriptors), maxCheckConnections)), Log: h.Log,
 	}
 }
 
--- a/core/wqmemorybudget/budget.go
+++ b/core/wqmemorybudget/budget.go
@@ -16,7 +16,7 @@
 //	a.SetPhase(wqmemorybudget.Receiving)
 //	ok, toClose := b.Reserve(now, a, 4096)
 //	a.AddProgress(now, 4096)
-//	b.Reset(a)  // after the request
+//	b.Reset(now, a)  // after the request
 //	b.Close(a)  // after the connection is closed
 //
 // The caller closes the connections in toClose.
@@ -42,10 +42,11 @@
 	// minHoldTime is the shortest hold time, in seconds, of a connection that is closed
 	// while there is still free memory.
 	minHoldTime = 2
-	// silentHandicap is added to the time without progress of a connection that has never
-	// sent anything, when there are too many connections. Clients that only connect would
-	// otherwise displace those that are between two requests.
-	silentHandicap = 5 * time.Second
+	// newHandicap is added to the time without progress of a connection that has not had a
+	// complete request and has sent nothing, or holds much, when there are too many
+	// connections. Clients that only connect, or never end their requests, would otherwise
+	// displace those that are between two.
+	newHandicap = 3 * time.Second
 	// scanInterval bounds the cost of scans, which go over all connections.
 	scanInterval = 20 * time.Millisecond
 )
@@ -99,6 +100,8 @@
 	held           int64
 	isLeaving      bool
 	isClosed       bool
+	isUsed         bool      // whether there was a complete request
+	usedAt         time.Time // end of the last complete request, or opening
 	windowStart    time.Time
 	windowProgress int64
 	windowChanges  int64
@@ -144,7 +147,7 @@
 		}
 		toClose = append(toClose, b.leave(least))
 	}
-	a := &Account[C]{Connection: c, held: b.ConnectionCost, windowStart: now}
+	a := &Account[C]{Connection: c, held: b.ConnectionCost, usedAt: now, windowStart: now}
 	a.movedAt.Store(now.UnixNano())
 	if b.accounts == nil {
 		b.accounts = make(map[*Account[C]]struct{})
@@ -196,10 +199,11 @@
 	b.add(a, -min(n, a.held-b.ConnectionCost))
 }
 
-// Reset gives back all that the connection holds beside its own cost.
-func (b *Budget[C]) Reset(a *Account[C]) {
+// Reset gives back all that the connection holds beside its own cost, after a request.
+func (b *Budget[C]) Reset(now time.Time, a *Account[C]) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	a.usedAt, a.isUsed = now, true
 	b.add(a, b.ConnectionCost-a.held)
 }
 
@@ -292,12 +296,17 @@
 		return nil
 	}
 	b.lastScan = now
+	// Closing connections that hold little helps only when there are many of them.
+	least := int64(0)
+	if int64(len(b.accounts))*b.ConnectionCost < b.Limit/2 {
+		least = 2 * b.ConnectionCost
+	}
 	var toClose []C
 	for _, c := range b.candidates(now, !isFull) {
 		if b.pressure() <= target {
 			break
 		}
-		if c.account != keep {
+		if c.account != keep && c.account.held >= least {
 			toClose = append(toClose, b.leave(c.account))
 		}
 	}
@@ -313,12 +322,12 @@
 		if a.isLeaving || a.Phase() == Running {
 			continue
 		}
-		still := a.Still(now)
-		if a.progress.Load() == 0 {
-			still += silentHandicap
+		unused := min(now.Sub(a.usedAt), a.Still(now))
+		if !a.isUsed && (a.progress.Load() == 0 || a.held > 2*b.ConnectionCost) {
+			unused += newHandicap
 		}
-		if still > longest {
-			least, longest = a, still
+		if unused > longest {
+			least, longest = a, unused
 		}
 	}
 	return least
--- a/core/wqmemorybudget/budget_test.go
+++ b/core/wqmemorybudget/budget_test.go
@@ -47,7 +47,7 @@
 	case c.sent == c.size:
 		c.served++
 		c.sent, c.waitUntil = 0, now.Add(100*time.Millisecond)
-		b.Reset(c.account)
+		b.Reset(now, c.account)
 		c.account.SetPhase(wqmemorybudget.Idle)
 	default:
 		c.account.SetPhase(wqmemorybudget.Receiving)
@@ -161,7 +161,7 @@
 					}
 				case 1:
 					_, toClose = b.Charge(now, a, n)
-					b.Reset(a)
+					b.Reset(now, a)
 					held[a] = cost
 				case 2:
 					b.Release(a, n)
--- a/io/wqhttp/connection.go
+++ b/io/wqhttp/connection.go
@@ -193,12 +193,6 @@
 	return nil
 }
 
-// Close closes the connection and gives back what it holds.
-func (c *Connection) Close() error {
-	c.server.Budget.Close(c.account)
-	return c.Conn.Close()
-}
-
 // beginStream counts a request over HTTP/2. Its connection is not closed for others while
 // it has one.
 func (c *Connection) beginStream() (end func()) {
--- a/io/wqhttp/request.go
+++ b/io/wqhttp/request.go
@@ -14,17 +14,16 @@
 const (
 	firstBodyBytes = 4 << 10 // the first part of a body that is read, of at most this length
 	refusalDelay   = time.Second
+	leaveTime      = 500 * time.Millisecond // for the rest of a body that is not used
 )
 
 // The limits of one connection of HTTP/2, which only other VMs use.
 const (
-	http2Streams       = 100
-	http2StreamWindow  = 64 << 10
-	http2Window        = 128 << 10
-	http2FrameBytes    = 16 << 10
-	http2HeaderTable   = 4 << 10
-	http2PingTimeout   = 15 * time.Second
-	http2SendPingAfter = 15 * time.Second
+	http2Streams      = 100
+	http2StreamWindow = 64 << 10
+	http2Window       = 128 << 10
+	http2FrameBytes   = 16 << 10
+	http2HeaderTable  = 4 << 10
 )
 
 func (s *Server) enableHTTP2() {
@@ -36,7 +35,6 @@
 	s.server.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams: http2Streams, MaxReceiveBufferPerConnection: http2Window, MaxReceiveBufferPerStream: http2StreamWindow,
 		MaxReadFrameSize: http2FrameBytes, MaxDecoderHeaderTableSize: http2HeaderTable,
-		SendPingTimeout: http2SendPingAfter, PingTimeout: http2PingTimeout,
 	}
 }
 
@@ -107,8 +105,16 @@
 func LeaveBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body != http.NoBody {
-			w.Header().Set("Connection", "close")
+			LeaveBody(w)
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// LeaveBody closes the connection after the reply to a request whose body is not read to
+// its end. The server reads a part of the rest for a moment, so that the client gets the
+// reply.
+func LeaveBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(leaveTime)) // Fails only where a test replaces the connection.
+}
--- a/io/wqhttp/server.go
+++ b/io/wqhttp/server.go
@@ -188,10 +188,11 @@
 		return
 	}
 	if state == http.StateIdle && !c.http2.Load() {
-		c.since.Store(time.Now().UnixNano())
+		now := time.Now()
+		c.since.Store(now.UnixNano())
 		c.inHeader.Store(false)
 		c.account.SetPhase(wqmemorybudget.Idle)
-		s.Budget.Reset(c.account)
+		s.Budget.Reset(now, c.account)
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -203,6 +204,7 @@
 		s.active[c] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, c)
+		s.Budget.Close(c.account) // Only now nothing is held any more.
 	}
 }
 
--- a/io/wqpeer/memory.go
+++ b/io/wqpeer/memory.go
@@ -40,9 +40,10 @@
 		_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout)) // Fails only where a test replaces the connection.
 		body := &meteredBody{ReadCloser: r.Body, conn: conn, onEnd: func() { _ = controller.SetReadDeadline(time.Time{}) }}
 		defer func() { conn.Release(body.reserved) }()
-		r.Body = body
+		metered := r.WithContext(r.Context()) // The server looks at the body of its own request to close the connection gracefully.
+		metered.Body = body
 		conn.SetPhase(wqmemorybudget.Receiving)
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, metered)
 	})
 }
 
