--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -78,6 +78,8 @@
 	searcherClient   *wqtarget.Client
 	statements       *wqstatement.Tracker
 	connectionLimits map[string]connectionLimit // By service; owned by the control goroutine.
+	descriptors      float64                    // Descriptors that this process may have open; set before the listeners are.
+	warnedVersion    uint64                     // Configuration whose limits were checked; owned by the control goroutine.
 	storeUnreachable atomic.Bool                // True while the store does not answer this VM.
 	peerFanOuts      atomic.Int64               // Number of fan-outs in progress for other VMs.
 }
@@ -112,7 +114,7 @@
 	h.relay = h.newRelay(peers)
 	h.setPlacement(peers)
 	h.addGauges()
-	h.callerServer = &wqhttp.Server{Handler: h.callerHandler(), Timeouts: h.callerTimeouts, Log: h.Log}
+	h.callerServer = h.newCallerServer()
 
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -187,7 +189,7 @@
 
 // callerHandler returns the HTTP handler of callers' requests.
 func (h *Host) callerHandler() http.Handler {
-	handler := &wqingress.Handler{Serve: h.relay.Serve, Reject: h.relay.Reject, MaxDuration: h.relay.MaxDuration, MaxBodyBytes: h.maxBodyBytes}
+	handler := &wqingress.Handler{Serve: h.relay.Serve, Reject: h.relay.Reject, MaxDuration: h.relay.MaxDuration, MaxBodyBytes: h.maxBodyBytes, Route: h.route}
 	return wqstop.CloseWhenStopping(handler, func() bool { return h.controller.Plan().Stopping })
 }
 
@@ -228,8 +230,9 @@
 	if p.Table == nil {
 		return
 	}
+	h.warnOfLimits(p.Table)
 	limits := make(map[string]connectionLimit, len(p.Pools))
-	shards := p.Table.ShardServices()
+	shards, mostConnections := p.Table.ShardServices(), h.maxConnectionsPerSearcher(p)
 	for service, targets := range p.Pools {
 		sharers, isSharer := max(p.FleetSize, 1), true
 		if shards[service] {
@@ -240,6 +243,7 @@
 			accepted = defaultConnections
 		}
 		share := max(1, int(float64(accepted)*(1-connectionReserve)/float64(sharers)))
+		share = h.limitConnections(share, len(targets), mostConnections)
 		if !isSharer {
 			share = 1
 		}
