--- a/core/wqquota/gate.go
+++ b/core/wqquota/gate.go
@@ -76,7 +76,7 @@
 type gateAccount struct {
 	own        window
 	strict     bool
-	strictAt   time.Time // strictAt is when strict was last set or cleared.
+	strictAt   time.Time // strictAt is when the mode was first known or last changed.
 	refuseTo   time.Time
 	refusedFor time.Duration
 	draw       float64 // draw rounds the share of this VM to a whole number, without bias over the fleet.
@@ -153,7 +153,10 @@
 func (g *Gate[P]) SetStrict(now time.Time, tenant string, strict bool) bool {
 	a := g.account(now, tenant)
 	changed := a.strict != strict
-	a.strict, a.strictAt = strict, now
+	if changed || a.strictAt.IsZero() {
+		a.strictAt = now
+	}
+	a.strict = strict
 	return changed
 }
 
--- a/io/wqlimiter/charge.go
+++ b/io/wqlimiter/charge.go
@@ -39,6 +39,8 @@
 	case wqquota.AdmitNow:
 		return wqcall.Reply{}, true
 	case wqquota.RefuseNow:
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
 		return l.refuse(c, modeRecent, wait), false
 	case wqquota.AskOwner:
 		if reply, decided, granted := l.ask(ctx, c, limit, roster); decided {
@@ -231,14 +233,14 @@
 	return l.refuse(c, modeLocal, wait), false
 }
 
-// refuse returns the reply to a call over the quota.
+// refuse returns the reply to a call over the quota. The lock must be held.
 func (l *Limiter[P, T]) refuse(c *wqcall.Call, mode string, wait time.Duration) wqcall.Reply {
 	if l.CountRefusal != nil {
 		l.CountRefusal(c.Tenant, mode)
 	}
 	return wqcall.Reply{
 		Status: wqcall.OverQuota, RetryAfter: max(wait, time.Millisecond),
-		Reason: fmt.Sprintf("the quota is used up (%s)", mode),
+		Reason: fmt.Sprintf("the quota is used up (%s, known for %d ms)", mode, l.gate.ModeAge(time.Now(), c.Tenant).Milliseconds()),
 	}
 }
 
