--- a/core/wqquota/bucket.go
+++ b/core/wqquota/bucket.go
@@ -23,8 +23,8 @@
 	at    time.Time // at is the time of the level; the bucket fills from then on.
 }
 
-// bucketSize returns the level of a full bucket.
-func (l Limit) bucketSize() float64 { return l.Burst + bucketReserve*l.reserve() }
+// bucketSize returns the level of a full bucket, which holds one request at least.
+func (l Limit) bucketSize() float64 { return max(1, l.Burst+bucketReserve*l.reserve()) }
 
 // newBucket returns a full bucket, or for an owner that does not know earlier requests one
 // that holds only what may be exceeded, and fills after blindPace.
--- a/core/wqquota/bucket_test.go
+++ b/core/wqquota/bucket_test.go
@@ -47,3 +47,20 @@
 	b.fill(start.Add(time.Minute), limit, 1)
 	must.Eq(t, limit.bucketSize(), b.level)
 }
+
+// Guards against an account without a burst that never gets a request.
+func TestAccountWithoutABurstGetsItsRate(t *testing.T) {
+	limit := Limit{Rate: 0.5, Bound: wqbound.Quota{Window: 5 * time.Second}}
+	start := time.Unix(1000, 0)
+	l := &Ledger{Self: "a", Bound: limit.Bound, StartedAt: start, FirstStart: true}
+	l.SetRoster(start, NewRoster([]VM{{ID: "a", Zone: "z", Epoch: 1}}, 1))
+	granted := 0
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		if l.Ask(now, limit, "t").Granted {
+			granted++
+		}
+		l.Acknowledge(now, VM{ID: "a", Epoch: 1}, Entry{Tenant: "t"}, Answer{Full: true})
+	}
+	must.Between(t, 8, granted, 10, must.Sprint("a window of 5 s holds 2"))
+}
