--- a/test/soak/step_test.go
+++ b/test/soak/step_test.go
@@ -14,7 +14,7 @@
 	all := s.AllSearchers()
 	searcher := all[s.random.IntN(len(all))]
 	actions := []func(*wqfakeplatform.VM, *wqfakeplatform.Searcher){
-		s.stopOrKill, s.freezeOrThaw, s.changeStoreProxy, s.changeStore, s.changeBehaviour, s.changeSearcherProxy, s.drainSearcher, s.changeZone, s.reshard,
+		s.stopOrKill, s.freezeOrThaw, s.changeStoreProxy, s.changeStore, s.changeBehaviour, s.changeSearcherProxy, s.drainSearcher, s.changeZone, s.reshard, s.leaveByReport,
 		func(*wqfakeplatform.VM, *wqfakeplatform.Searcher) { s.publishVersion() },
 		func(vm *wqfakeplatform.VM, _ *wqfakeplatform.Searcher) {
 			vm.Signal(syscall.SIGHUP)
@@ -78,8 +78,8 @@
 
 func (s *soak) changeBehaviour(_ *wqfakeplatform.VM, searcher *wqfakeplatform.Searcher) {
 	b := []wqfakeplatform.Behaviour{
-		{}, {Shed: true}, {NoReply: true}, {Duplicate: true}, {Truncate: true}, {Hang: true}, {Fail: true}, {ProcessingTime: 300 * time.Millisecond},
-	}[s.random.IntN(8)]
+		{}, {Shed: true}, {NoReply: true}, {Duplicate: true}, {Truncate: true}, {Hang: true}, {Fail: true}, {ProcessingTime: 300 * time.Millisecond}, {Shed: true, RetryAfter: "1.5"},
+	}[s.random.IntN(9)]
 	searcher.SetBehaviour(b)
 	s.record("behaviour of %s is %+v", searcher.ID, b)
 }
@@ -111,6 +111,14 @@
 	s.record("%s drains", searcher.ID)
 }
 
+// leaveByReport starts another searcher of the same service and zone, then lets this
+// one report in its responses that it is leaving. Its registration stays ready.
+func (s *soak) leaveByReport(_ *wqfakeplatform.VM, searcher *wqfakeplatform.Searcher) {
+	s.AddSearcher(searcher.Service, searcher.Zone)
+	searcher.SetBehaviour(wqfakeplatform.Behaviour{Leaving: true})
+	s.record("%s reports that it is leaving", searcher.ID)
+}
+
 func (s *soak) changeZone(*wqfakeplatform.VM, *wqfakeplatform.Searcher) {
 	if s.random.IntN(2) == 0 {
 		s.Store.Put("op/evacuate/a", struct{}{})
