--- a/core/wqcanary/picker.go
+++ b/core/wqcanary/picker.go
@@ -28,6 +28,9 @@
 	if !ok || d.Phase == wqrollout.None {
 		return p.Inner.Pick(now, targets, tried, meanLatency, random)
 	}
+	if d.Phase == wqrollout.Completed && !slices.ContainsFunc(targets, func(t *wqdirectory.Target) bool { return t.Version != d.Version }) {
+		return p.Inner.Pick(now, targets, tried, meanLatency, random) // The usual state after a rollout, without allocations.
+	}
 	newTargets, oldTargets := split(targets, &d)
 	first, second := oldTargets, []*wqdirectory.Target(nil)
 	switch {
--- a/io/wqcontroller/rollout.go
+++ b/io/wqcontroller/rollout.go
@@ -226,12 +226,24 @@
 		directives[service] = d
 		c.logDirective(s, &d)
 	}
-	if c.Rollouts.Meter != nil && (len(directives) > 0 || len(c.Plan().Rollouts) > 0) {
-		c.Rollouts.Meter.SetDirectives(directives)
-	}
+	c.meterOpen(directives)
 	return directives
 }
 
+// meterOpen makes the meter count the services whose rollout is open.
+func (c *Controller) meterOpen(directives wqrollout.Directives) {
+	if c.Rollouts.Meter == nil || len(directives) == 0 && len(c.Plan().Rollouts) == 0 {
+		return
+	}
+	open := make(wqrollout.Directives)
+	for service := range directives {
+		if d := directives[service]; d.Phase == wqrollout.Running || d.Phase == wqrollout.Switching {
+			open[service] = d
+		}
+	}
+	c.Rollouts.Meter.SetDirectives(open)
+}
+
 // logDirective logs a change of what this VM does.
 func (c *Controller) logDirective(s *rolloutState, d *wqrollout.Directive) {
 	line := d.Phase.String() + d.Version
