--- a/test/tier/rollout_test.go
+++ b/test/tier/rollout_test.go
@@ -88,15 +88,31 @@
 // Guards against a bad version that gets more than its share, or anything after its
 // verdict.
 func TestFailingVersionIsRolledBack(t *testing.T) {
-	t.Parallel()
-	f, ordered, stop := startRollout(t, 3, wqfakeplatform.Behaviour{FailEvery: 2})
-	waitState(f, "rolled_back", rolloutDuration)
-	time.Sleep(time.Second)
-	decided := time.Now()
-	time.Sleep(time.Second)
-	stop()
-	checkExposure(t, f, ordered)
-	ofVersion, _ := f.CountExecutions("orders", "v2", decided)
-	must.Eq(t, 0, ofVersion)
-	checkGuarantees(t, f)
+	for name, c := range map[string]struct {
+		first, later wqfakeplatform.Behaviour
+	}{
+		"failing":       {wqfakeplatform.Behaviour{FailEvery: 2}, wqfakeplatform.Behaviour{FailEvery: 2}},
+		"slow":          {wqfakeplatform.Behaviour{ProcessingTime: 150 * time.Millisecond}, wqfakeplatform.Behaviour{ProcessingTime: 150 * time.Millisecond}},
+		"failing later": {wqfakeplatform.Behaviour{}, wqfakeplatform.Behaviour{FailEvery: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, ordered, stop := startRollout(t, 3, c.first)
+			time.Sleep(8 * time.Second)
+			for _, s := range f.SearchersOf("orders") {
+				if s.Version == "v2" {
+					s.SetBehaviour(c.later)
+				}
+			}
+			waitState(f, "rolled_back", rolloutDuration)
+			time.Sleep(time.Second)
+			decided := time.Now()
+			time.Sleep(time.Second)
+			stop()
+			checkExposure(t, f, ordered)
+			ofVersion, _ := f.CountExecutions("orders", "v2", decided)
+			must.Eq(t, 0, ofVersion)
+			checkGuarantees(t, f)
+		})
+	}
 }
