--- a/core/wqcanary/meter.go
+++ b/core/wqcanary/meter.go
@@ -61,7 +61,8 @@
 type service struct {
 	directive    wqrollout.Directive
 	credits      map[string]*float64 // credits holds the credit by route.
-	rows         map[wqverdict.Key]*wqverdict.Row
+	rows         map[wqverdict.Key]*countedRow
+	sequence     uint64 // sequence is the number of the next report.
 	sentNew      uint64
 	sentOld      uint64
 	oldInFlight  int
@@ -69,6 +70,12 @@
 	stoppedUntil time.Time
 }
 
+// countedRow is a row and the number of the first report with its latest change.
+type countedRow struct {
+	wqverdict.Row
+	changedIn uint64
+}
+
 // Outcome is the end of one send.
 type Outcome struct {
 	Target  *wqdirectory.Target
@@ -89,7 +96,7 @@
 		d := directives[name]
 		s := m.services[name]
 		if s == nil || s.directive.OrderRevision != d.OrderRevision || s.directive.Version != d.Version {
-			s = &service{credits: make(map[string]*float64), rows: make(map[wqverdict.Key]*wqverdict.Row)}
+			s = &service{credits: make(map[string]*float64), rows: make(map[wqverdict.Key]*countedRow), sequence: 1}
 		}
 		s.directive = d
 		services[name] = s
@@ -208,9 +215,10 @@
 		if len(s.rows) >= maxRows {
 			return
 		}
-		r = &wqverdict.Row{Route: k.Route, Far: k.Far, New: k.New, Searcher: k.Searcher}
+		r = &countedRow{Row: wqverdict.Row{Route: k.Route, Far: k.Far, New: k.New, Searcher: k.Searcher}}
 		s.rows[k] = r
 	}
+	r.changedIn = s.sequence
 	switch o.Result {
 	case wqsend.Answered:
 		r.Answered++
@@ -237,22 +245,30 @@
 	return buckets
 }
 
-// Report returns the counts of a service, and false if it has no directive.
-func (m *Meter) Report(name string) (wqrollout.Report, bool) {
+// Report returns the counts of a service, and false if it has no directive. Rows that have
+// not changed since the report with the number base are left out; 0 is for all rows.
+func (m *Meter) Report(name string, base uint64) (wqrollout.Report, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	s := m.services[name]
 	if s == nil {
 		return wqrollout.Report{}, false
 	}
+	if base >= s.sequence {
+		base = 0 // It belongs to an earlier order.
+	}
 	report := wqrollout.Report{
-		Service: name, OrderRevision: s.directive.OrderRevision,
+		Service: name, OrderRevision: s.directive.OrderRevision, Sequence: s.sequence, Base: base,
 		SentNew: s.sentNew, SentOld: s.sentOld, OldInFlight: s.oldInFlight,
 	}
 	for _, r := range s.rows {
-		row := *r
+		if r.changedIn <= base {
+			continue
+		}
+		row := r.Row
 		row.Latency, row.Cut = append([]uint32(nil), r.Latency...), append([]uint32(nil), r.Cut...)
 		report.Rows = append(report.Rows, row)
 	}
+	s.sequence++
 	return report, true
 }
--- a/core/wqrollout/order.go
+++ b/core/wqrollout/order.go
@@ -72,6 +72,7 @@
 	From             string      `json:"from"`
 	Reports          []Report    `json:"reports,omitempty"`
 	Directives       []Directive `json:"directives,omitempty"`
+	Received         []Receipt   `json:"received,omitempty"`          // Received names the reports that the sender has taken in.
 	StoreUnreachable bool        `json:"store_unreachable,omitempty"` // StoreUnreachable is true if the sender can't write a status, so that another VM should coordinate.
 }
 
@@ -83,6 +84,13 @@
 	return d.Share
 }
 
+// Receipt says that a report was taken in.
+type Receipt struct {
+	Service  string `json:"service"`
+	Sequence uint64 `json:"sequence"`
+	Complete bool   `json:"complete"` // Complete is false if rows are missing, so that the next report must have all.
+}
+
 // AllowsNew reports whether the new version may get any request.
 func (d *Directive) AllowsNew(now time.Time) bool {
 	switch d.Phase {
@@ -118,6 +126,10 @@
 	SentOld       uint64          `json:"sent_old"`
 	OldInFlight   int             `json:"old_in_flight"`
 	Rows          []wqverdict.Row `json:"rows,omitempty"`
+	// Sequence grows with each report of a VM. Rows that have not changed since the report
+	// with the number Base are left out; 0 is for a report with all rows.
+	Sequence uint64 `json:"sequence"`
+	Base     uint64 `json:"base,omitempty"`
 }
 
 // DefaultLimits returns the limits for an order in a deployment whose settings have
--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -95,6 +95,7 @@
 	sentOld     uint64
 	oldInFlight int
 	reportedAt  time.Time
+	sequence    uint64 // sequence is the latest report whose rows are all known, 0 for none.
 }
 
 // New returns a rollout that begins at now. Its start is corrected by reports of VMs
@@ -173,10 +174,11 @@
 	r.phase, r.share, r.reason, r.moved = RolledBack, 0, reason, false
 }
 
-// HandleReport takes in the evidence of one VM.
-func (r *Rollout) HandleReport(now time.Time, report *Report) {
+// HandleReport takes in the evidence of one VM. It reports false if rows are missing, so
+// that the VM has to send all of them.
+func (r *Rollout) HandleReport(now time.Time, report *Report) bool {
 	if report.OrderRevision != r.Order.Revision {
-		return
+		return true
 	}
 	if report.RolledBack != "" {
 		r.RollBack(report.RolledBack)
@@ -194,8 +196,22 @@
 		v = &vmState{epoch: report.Epoch, rows: make(map[wqverdict.Key]wqverdict.Row)}
 		r.vms[report.VM] = v
 	}
-	for i := range report.Rows {
-		row := &report.Rows[i]
+	r.addRows(v, report.Rows)
+	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
+	r.sentOld += max(report.SentOld, v.sentOld) - v.sentOld
+	v.sentNew, v.sentOld = max(report.SentNew, v.sentNew), max(report.SentOld, v.sentOld)
+	v.oldInFlight, v.reportedAt = report.OldInFlight, now
+	if v.sequence < report.Base {
+		return false
+	}
+	v.sequence = max(v.sequence, report.Sequence)
+	return true
+}
+
+// addRows adds the growth of the rows of one VM to the evidence.
+func (r *Rollout) addRows(v *vmState, rows []wqverdict.Row) {
+	for i := range rows {
+		row := &rows[i]
 		before := v.rows[row.Key()]
 		growth := row.Since(&before)
 		r.pending = append(r.pending, growth)
@@ -204,10 +220,6 @@
 		}
 		v.rows[row.Key()] = *row
 	}
-	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
-	r.sentOld += max(report.SentOld, v.sentOld) - v.sentOld
-	v.sentNew, v.sentOld = max(report.SentNew, v.sentNew), max(report.SentOld, v.sentOld)
-	v.oldInFlight, v.reportedAt = report.OldInFlight, now
 }
 
 // continueAt goes on at the step that another coordinator had reached.
--- a/core/wqrollout/rollout_test.go
+++ b/core/wqrollout/rollout_test.go
@@ -57,6 +57,22 @@
 	must.Eq(t, 200, r.Responses())
 }
 
+// Guards against evidence that a new coordinator does not get, since the VM left out what
+// the former one had.
+func TestCoordinatorAsksForAllRows(t *testing.T) {
+	r := newRollout(1)
+	m := report("a", 10, true)
+	m.Sequence, m.Base, m.Rows = 7, 6, m.Rows[:1]
+	must.False(t, r.HandleReport(start, &m))
+	m = report("a", 10, true)
+	m.Sequence = 8
+	must.True(t, r.HandleReport(start, &m))
+	m.Sequence, m.Base = 9, 8
+	must.True(t, r.HandleReport(start, &m))
+	r.Tick(start)
+	must.Eq(t, 110, r.Responses())
+}
+
 // Guards against a verdict that is taken early, so that faults after it are not seen.
 func TestCompletionIsDueShortlyBeforeTheDeadline(t *testing.T) {
 	must.Between(t, 54, playUntil(newRollout(2), 60, true), 58)
--- a/core/wqrollout/simulation_test.go
+++ b/core/wqrollout/simulation_test.go
@@ -66,6 +66,7 @@
 	picker    wqcanary.Picker[randomPicker]
 	directive wqrollout.Directives
 	cutOff    bool
+	answered  uint64
 	zone      int
 }
 
@@ -161,7 +162,8 @@
 	if v.cutOff {
 		return
 	}
-	report, _ := v.meter.Report("orders")
+	report, _ := v.meter.Report("orders", v.answered)
+	v.answered = report.Sequence
 	report.VM, report.Witnessed, report.AgeMillis = fmt.Sprint(i), true, s.now.Sub(s.start).Milliseconds()
 	s.rollout.HandleReport(s.now, &report)
 	d := s.directive()
--- a/io/wqcontroller/coordination.go
+++ b/io/wqcontroller/coordination.go
@@ -30,6 +30,8 @@
 	sent         uint64 // sent is the number of sends in the latest report.
 	failed       int    // failed counts the reports without a reply in a row.
 	away         map[string]time.Time
+	answered     map[string]uint64 // answered holds the latest report that answeredBy has, by service.
+	answeredBy   string
 	failedWrites int
 	pushes       map[string]int // pushes holds how often a verdict is still to be sent, by service.
 	failedAt     time.Time      // failedAt is the time of the latest failed write.
@@ -92,6 +94,7 @@
 		e.reply <- c.answerRollouts(now, &e.message)
 	default:
 		c.coordination.failed = 0
+		c.noteAnswered(&e.message)
 		if e.message.StoreUnreachable {
 			c.passOver(now, e.message.From, "it can't write to the store")
 		}
@@ -113,18 +116,36 @@
 	c.obey(now, m.Directives)
 	reply := wqrollout.Message{From: c.members.Self.ID, StoreUnreachable: c.coordination.cannotWrite(now)}
 	for i := range m.Reports {
-		if d, ok := c.takeReport(now, &m.Reports[i]); ok {
+		r := &m.Reports[i]
+		d, ok, complete := c.takeReport(now, r)
+		if ok {
 			reply.Directives = append(reply.Directives, d)
+			reply.Received = append(reply.Received, wqrollout.Receipt{Service: r.Service, Sequence: r.Sequence, Complete: complete})
 		}
 	}
 	return reply
 }
 
+// noteAnswered records which reports the coordinator has, so that rows it knows are not sent
+// again.
+func (c *Controller) noteAnswered(m *wqrollout.Message) {
+	if m.From != c.coordination.answeredBy || c.coordination.answered == nil {
+		c.coordination.answeredBy, c.coordination.answered = m.From, make(map[string]uint64)
+	}
+	for _, r := range m.Received {
+		if !r.Complete {
+			delete(c.coordination.answered, r.Service)
+			continue
+		}
+		c.coordination.answered[r.Service] = r.Sequence
+	}
+}
+
 // takeReport takes in one report, as the coordinator, and returns the directive.
-func (c *Controller) takeReport(now time.Time, r *wqrollout.Report) (wqrollout.Directive, bool) {
+func (c *Controller) takeReport(now time.Time, r *wqrollout.Report) (d wqrollout.Directive, ok, complete bool) {
 	s := c.rollouts[r.Service]
 	if s == nil || s.moved || !s.pending() || r.OrderRevision != s.order.Revision {
-		return wqrollout.Directive{}, false
+		return wqrollout.Directive{}, false, false
 	}
 	if s.rollout == nil {
 		s.rollout = wqrollout.New(s.order, c.Rollouts.Limits, now)
@@ -132,11 +153,11 @@
 	}
 	s.reportedAt = now
 	s.rollout.FleetSize = c.fleetSize
-	s.rollout.HandleReport(now, r)
+	complete = s.rollout.HandleReport(now, r)
 	if s.verdict != "" {
 		s.rollout.RollBack(s.verdict)
 	}
-	return s.rollout.Directive(), true
+	return s.rollout.Directive(), true, complete
 }
 
 // obey adopts directives for the orders that this VM knows.
@@ -289,9 +310,9 @@
 	}
 	to := c.coordinator(now)
 	if to.ID == c.members.Self.ID {
-		reports, _ := c.ownReports(now)
+		reports, _ := c.ownReports(now, "")
 		for i := range reports {
-			if d, ok := c.takeReport(now, &reports[i]); ok {
+			if d, ok, _ := c.takeReport(now, &reports[i]); ok {
 				c.obey(now, []wqrollout.Directive{d})
 			}
 		}
@@ -300,7 +321,7 @@
 	if now.Before(c.coordination.reportAt) || c.Rollouts.Transport == nil {
 		return
 	}
-	reports, sent := c.ownReports(now)
+	reports, sent := c.ownReports(now, to.ID)
 	next := reportInterval
 	if sent == c.coordination.sent {
 		next = idleInterval
@@ -309,13 +330,18 @@
 	c.Rollouts.Transport.SendRollouts(to, wqrollout.Message{From: c.members.Self.ID, Reports: reports})
 }
 
-// ownReports returns the reports on the open orders, and the number of sends in them.
-func (c *Controller) ownReports(now time.Time) (reports []wqrollout.Report, sent uint64) {
+// ownReports returns the reports on the open orders, and the number of sends in them. They
+// leave out what the VM that they are for has already.
+func (c *Controller) ownReports(now time.Time, to string) (reports []wqrollout.Report, sent uint64) {
 	for service, s := range c.rollouts {
 		if !s.pending() {
 			continue
 		}
-		r, ok := c.Rollouts.Meter.Report(service)
+		base := uint64(0)
+		if to != "" && to == c.coordination.answeredBy {
+			base = c.coordination.answered[service]
+		}
+		r, ok := c.Rollouts.Meter.Report(service, base)
 		if !ok || r.OrderRevision != s.order.Revision {
 			continue
 		}
