--- a/core/wqcanary/picker.go
+++ b/core/wqcanary/picker.go
@@ -31,25 +31,28 @@
 	if d.Phase == wqrollout.Completed && !slices.ContainsFunc(targets, func(t *wqdirectory.Target) bool { return t.Version != d.Version }) {
 		return p.Inner.Pick(now, targets, tried, meanLatency, random) // The usual state after a rollout, without allocations.
 	}
-	newTargets, oldTargets := split(targets, &d)
-	first, second := oldTargets, []*wqdirectory.Target(nil)
-	switch {
-	case d.PrefersNew(now):
-		first = newTargets
-		if len(newTargets) == 0 {
-			first = oldTargets
-		}
-	case d.Phase == wqrollout.Held && len(oldTargets) == 0:
-		first = newTargets
-	case d.AllowsNew(now) && p.Meter.HasCredit(now, d.Service, p.Route):
-		first, second = newTargets, oldTargets
-	}
+	first, second := p.order(now, targets, &d)
 	if t := p.Inner.Pick(now, first, tried, meanLatency, random); t != nil || len(second) == 0 {
 		return t
 	}
 	return p.Inner.Pick(now, second, tried, meanLatency, random)
 }
 
+// order returns the targets of the version that is due, and those that take its place if
+// none of them can be picked.
+func (p Picker[P]) order(now time.Time, targets []*wqdirectory.Target, d *wqrollout.Directive) (first, second []*wqdirectory.Target) {
+	newTargets, oldTargets := split(targets, d)
+	switch {
+	case d.PrefersNew(now) && len(newTargets) > 0:
+		return newTargets, nil
+	case d.Phase == wqrollout.Held && len(oldTargets) == 0:
+		return newTargets, nil
+	case d.Phase == wqrollout.Running && d.AllowsNew(now) && p.Meter.HasCredit(now, d.Service, p.Route):
+		return newTargets, oldTargets
+	}
+	return oldTargets, nil
+}
+
 // Unresponsive reports whether no answer of the searcher can be expected.
 func (p Picker[P]) Unresponsive(now time.Time, searcherID string) bool {
 	return p.Inner.Unresponsive(now, searcherID)
