--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -47,7 +47,9 @@
 	forgetAfter    = 10 * time.Second // forgetAfter is the time without a report after which a VM counts as gone.
 	minForWeights  = 20               // minForWeights is the number of responses from which the routes are weighted.
 	maxWeight      = 4.0              // maxWeight bounds the weight of a route, and its inverse.
-	maxRoutes      = 256              // maxRoutes bounds the memory for weights.
+	maxVMs         = 4096             // maxVMs and maxRowsPerVM bound the memory for reports.
+	maxRowsPerVM   = 512
+	maxRoutes      = 256 // maxRoutes bounds the memory for weights.
 	rateHalfLife   = 4 * time.Second
 	stepTime       = 1500 * time.Millisecond // stepTime lets evidence of a step arrive before the next.
 	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
@@ -192,6 +194,9 @@
 	}
 	r.continueAt(now, report.Step)
 	v := r.vms[report.VM]
+	if v == nil && len(r.vms) >= maxVMs {
+		return true
+	}
 	if v == nil || v.epoch != report.Epoch {
 		v = &vmState{epoch: report.Epoch, rows: make(map[wqverdict.Key]wqverdict.Row)}
 		r.vms[report.VM] = v
@@ -212,6 +217,9 @@
 func (r *Rollout) addRows(v *vmState, rows []wqverdict.Row) {
 	for i := range rows {
 		row := &rows[i]
+		if _, known := v.rows[row.Key()]; !known && len(v.rows) >= maxRowsPerVM {
+			continue
+		}
 		before := v.rows[row.Key()]
 		growth := row.Since(&before)
 		r.pending = append(r.pending, growth)
