--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -265,7 +265,7 @@
 		r.RollBack(fmt.Sprintf("duration %s is too short for a verdict; order at least %s", r.Order.Duration, MinDuration))
 	case r.phase == Switching:
 		r.finish(now)
-	case now.Before(r.stepsAt()):
+	case r.step == 0 && now.Before(r.stepsAt()):
 		r.share = r.quietShare(now)
 	default:
 		r.advance(now)
