--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -55,7 +55,7 @@
 	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
 	switchTime     = 1500 * time.Millisecond // switchTime is the time in which requests in flight on the old version end.
 	minLead        = 8 * time.Second         // minLead is the least time before the deadline at which the steps begin.
-	maxLead        = 10 * time.Second
+	maxLead        = 9 * time.Second
 	leadShare      = 0.2 // leadShare is the part of the duration for the steps, within minLead and maxLead.
 )
 
