Test of the completion ticks twice a second, as the steps take 1.5 s

With ticks of one second each step took two, and the steps that begin 9 s before the deadline ended a second late; the VMs tick four times a second. The bounds of the test stay as they were.

--- a/core/wqrollout/rollout_test.go
+++ b/core/wqrollout/rollout_test.go
@@ -29,19 +29,19 @@
 	return r
 }
 
-// playUntil reports for two VMs and ticks each second; it returns when the rollout
-// was due to be completed, 0 if it was not.
+// playUntil reports for two VMs and ticks twice a second, as steps take 1.5 s; it returns
+// the second at which the rollout was due to be completed, 0 if it was not.
 func playUntil(r *wqrollout.Rollout, seconds int, witnessed bool) int {
-	for i := range seconds {
-		now := start.Add(time.Duration(i) * time.Second)
+	for i := range 2 * seconds {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
 		for v := range 2 {
-			m := report(fmt.Sprint(v), i, witnessed)
+			m := report(fmt.Sprint(v), i/2, witnessed)
 			r.HandleReport(now, &m)
 			r.HandleReport(now, &m)
 		}
 		r.Tick(now)
 		if r.Due() == wqrollout.Completed {
-			return i
+			return i / 2
 		}
 	}
 	return 0
