--- a/core/wqrollout/rollout.go
+++ b/core/wqrollout/rollout.go
@@ -47,13 +47,15 @@
 	forgetAfter    = 10 * time.Second // forgetAfter is the time without a report after which a VM counts as gone.
 	minForWeights  = 20               // minForWeights is the number of responses from which the routes are weighted.
 	maxWeight      = 4.0              // maxWeight bounds the weight of a route, and its inverse.
-	maxRoutes      = 256              // maxRoutes bounds the memory for weights.
+	maxVMs         = 4096             // maxVMs and maxRowsPerVM bound the memory for reports.
+	maxRowsPerVM   = 512
+	maxRoutes      = 256 // maxRoutes bounds the memory for weights.
 	rateHalfLife   = 4 * time.Second
 	stepTime       = 1500 * time.Millisecond // stepTime lets evidence of a step arrive before the next.
 	completionLead = 3 * time.Second         // completionLead is the time for the write before the deadline.
 	switchTime     = 1500 * time.Millisecond // switchTime is the time in which requests in flight on the old version end.
 	minLead        = 8 * time.Second         // minLead is the least time before the deadline at which the steps begin.
-	maxLead        = 10 * time.Second
+	maxLead        = 9 * time.Second
 	leadShare      = 0.2 // leadShare is the part of the duration for the steps, within minLead and maxLead.
 )
 
@@ -95,6 +97,7 @@
 	sentOld     uint64
 	oldInFlight int
 	reportedAt  time.Time
+	sequence    uint64 // sequence is the latest report whose rows are all known, 0 for none.
 }
 
 // New returns a rollout that begins at now. Its start is corrected by reports of VMs
@@ -173,10 +176,11 @@
 	r.phase, r.share, r.reason, r.moved = RolledBack, 0, reason, false
 }
 
-// HandleReport takes in the evidence of one VM.
-func (r *Rollout) HandleReport(now time.Time, report *Report) {
+// HandleReport takes in the evidence of one VM. It reports false if rows are missing, so
+// that the VM has to send all of them.
+func (r *Rollout) HandleReport(now time.Time, report *Report) bool {
 	if report.OrderRevision != r.Order.Revision {
-		return
+		return true
 	}
 	if report.RolledBack != "" {
 		r.RollBack(report.RolledBack)
@@ -190,12 +194,32 @@
 	}
 	r.continueAt(now, report.Step)
 	v := r.vms[report.VM]
+	if v == nil && len(r.vms) >= maxVMs {
+		return true
+	}
 	if v == nil || v.epoch != report.Epoch {
 		v = &vmState{epoch: report.Epoch, rows: make(map[wqverdict.Key]wqverdict.Row)}
 		r.vms[report.VM] = v
 	}
-	for i := range report.Rows {
-		row := &report.Rows[i]
+	r.addRows(v, report.Rows)
+	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
+	r.sentOld += max(report.SentOld, v.sentOld) - v.sentOld
+	v.sentNew, v.sentOld = max(report.SentNew, v.sentNew), max(report.SentOld, v.sentOld)
+	v.oldInFlight, v.reportedAt = report.OldInFlight, now
+	if v.sequence < report.Base {
+		return false
+	}
+	v.sequence = max(v.sequence, report.Sequence)
+	return true
+}
+
+// addRows adds the growth of the rows of one VM to the evidence.
+func (r *Rollout) addRows(v *vmState, rows []wqverdict.Row) {
+	for i := range rows {
+		row := &rows[i]
+		if _, known := v.rows[row.Key()]; !known && len(v.rows) >= maxRowsPerVM {
+			continue
+		}
 		before := v.rows[row.Key()]
 		growth := row.Since(&before)
 		r.pending = append(r.pending, growth)
@@ -204,10 +228,6 @@
 		}
 		v.rows[row.Key()] = *row
 	}
-	r.sentNew += max(report.SentNew, v.sentNew) - v.sentNew
-	r.sentOld += max(report.SentOld, v.sentOld) - v.sentOld
-	v.sentNew, v.sentOld = max(report.SentNew, v.sentNew), max(report.SentOld, v.sentOld)
-	v.oldInFlight, v.reportedAt = report.OldInFlight, now
 }
 
 // continueAt goes on at the step that another coordinator had reached.
@@ -245,7 +265,7 @@
 		r.RollBack(fmt.Sprintf("duration %s is too short for a verdict; order at least %s", r.Order.Duration, MinDuration))
 	case r.phase == Switching:
 		r.finish(now)
-	case now.Before(r.stepsAt()):
+	case r.step == 0 && now.Before(r.stepsAt()):
 		r.share = r.quietShare(now)
 	default:
 		r.advance(now)
--- a/core/wqrollout/rollout_test.go
+++ b/core/wqrollout/rollout_test.go
@@ -29,19 +29,19 @@
 	return r
 }
 
-// playUntil reports for two VMs and ticks each second; it returns when the rollout
-// was due to be completed, 0 if it was not.
+// playUntil reports for two VMs and ticks twice a second, as steps take 1.5 s; it returns
+// the second at which the rollout was due to be completed, 0 if it was not.
 func playUntil(r *wqrollout.Rollout, seconds int, witnessed bool) int {
-	for i := range seconds {
-		now := start.Add(time.Duration(i) * time.Second)
+	for i := range 2 * seconds {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
 		for v := range 2 {
-			m := report(fmt.Sprint(v), i, witnessed)
+			m := report(fmt.Sprint(v), i/2, witnessed)
 			r.HandleReport(now, &m)
 			r.HandleReport(now, &m)
 		}
 		r.Tick(now)
 		if r.Due() == wqrollout.Completed {
-			return i
+			return i / 2
 		}
 	}
 	return 0
@@ -57,6 +57,22 @@
 	must.Eq(t, 200, r.Responses())
 }
 
+// Guards against evidence that a new coordinator does not get, since the VM left out what
+// the former one had.
+func TestCoordinatorAsksForAllRows(t *testing.T) {
+	r := newRollout(1)
+	m := report("a", 10, true)
+	m.Sequence, m.Base, m.Rows = 7, 6, m.Rows[:1]
+	must.False(t, r.HandleReport(start, &m))
+	m = report("a", 10, true)
+	m.Sequence = 8
+	must.True(t, r.HandleReport(start, &m))
+	m.Sequence, m.Base = 9, 8
+	must.True(t, r.HandleReport(start, &m))
+	r.Tick(start)
+	must.Eq(t, 110, r.Responses())
+}
+
 // Guards against a verdict that is taken early, so that faults after it are not seen.
 func TestCompletionIsDueShortlyBeforeTheDeadline(t *testing.T) {
 	must.Between(t, 54, playUntil(newRollout(2), 60, true), 58)
--- a/core/wqrollout/simulation_test.go
+++ b/core/wqrollout/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -20,11 +21,13 @@
 const (
 	searchersPerVersion = 3
 	reportInterval      = 500 * time.Millisecond
+	idleInterval        = 1200 * time.Millisecond
 	tickInterval        = 250 * time.Millisecond
 )
 
 // routeShares are the shares of the requests by route, and medians their usual latency.
 var (
+	routeNames  = []string{"r0", "r1", "r2"}
 	routeShares = []float64{0.6, 0.3, 0.1}
 	medians     = []time.Duration{20 * time.Millisecond, 60 * time.Millisecond, 8 * time.Millisecond}
 )
@@ -59,6 +62,7 @@
 	route               int
 	searcher            int
 	completedAt         time.Time
+	rolledBackAt        time.Time
 }
 
 type simulatedVM struct {
@@ -66,6 +70,8 @@
 	picker    wqcanary.Picker[randomPicker]
 	directive wqrollout.Directives
 	cutOff    bool
+	answered  uint64
+	sent      uint64
 	zone      int
 }
 
@@ -142,12 +148,22 @@
 	for end := s.start.Add(s.duration); s.events[0].at.Before(end); {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
+		if !s.rolledBackAt.IsZero() && s.now.Sub(s.rolledBackAt) > 2*wqrollout.ContactTimeout {
+			s.sentAll += int(s.rate * end.Sub(s.now).Seconds()) // Only the old version gets requests from here on.
+			return
+		}
 		e.run()
 	}
 }
 
 func (v *simulatedVM) apply(d wqrollout.Directive) {
-	if v.directive["orders"].Phase.Final() {
+	before := v.directive["orders"]
+	if before.Phase.Final() {
+		return
+	}
+	if before.Phase == d.Phase && before.Share == d.Share && maps.EqualFunc(before.Weights, d.Weights, func(a, b float64) bool { return math.Abs(a-b) < 0.02*b }) {
+		before.ValidUntil = d.ValidUntil
+		v.directive["orders"] = before // Saves most of the time of a run.
 		return
 	}
 	v.directive = wqrollout.Directives{"orders": d}
@@ -157,11 +173,18 @@
 // report sends the evidence of one VM to the coordinator, whose reply takes 5 ms.
 func (s *simulation) report(i int) {
 	v := s.vms[i]
-	s.after(reportInterval, func() { s.report(i) })
 	if v.cutOff {
+		s.after(reportInterval, func() { s.report(i) })
 		return
 	}
-	report, _ := v.meter.Report("orders")
+	report, _ := v.meter.Report("orders", v.answered)
+	next := reportInterval
+	if report.SentNew+report.SentOld == v.sent {
+		next = idleInterval
+	}
+	v.sent = report.SentNew + report.SentOld
+	s.after(next, func() { s.report(i) })
+	v.answered = report.Sequence
 	report.VM, report.Witnessed, report.AgeMillis = fmt.Sprint(i), true, s.now.Sub(s.start).Milliseconds()
 	s.rollout.HandleReport(s.now, &report)
 	d := s.directive()
@@ -188,6 +211,7 @@
 		s.completedAt = s.now
 	}
 	if after == wqrollout.RolledBack && phase != after {
+		s.rolledBackAt = s.now
 		for _, v := range s.vms {
 			s.after(20*time.Millisecond, func() { v.apply(s.directive()) })
 		}
@@ -205,7 +229,7 @@
 }
 
 func (s *simulation) send(v *simulatedVM, route int, tried []string) {
-	v.picker.Route = fmt.Sprint("r", route)
+	v.picker.Route = routeNames[route]
 	t := v.picker.Pick(s.now, s.targets, tried, 0, s.random.Uint64())
 	if t == nil {
 		return
@@ -234,7 +258,7 @@
 		result, elapsed = wqsend.Broken, elapsed/2
 	}
 	s.after(elapsed, func() {
-		v.meter.Ended(s.now, wqcanary.Outcome{Target: t, Route: fmt.Sprint("r", route), Far: far, Result: result, Elapsed: elapsed})
+		v.meter.Ended(s.now, wqcanary.Outcome{Target: t, Route: routeNames[route], Far: far, Result: result, Elapsed: elapsed})
 		if result != wqsend.Answered && tried == nil {
 			s.send(v, route, []string{t.Searcher.ID})
 		}
@@ -252,7 +276,7 @@
 
 // loaded reports whether a searcher gets more than a third of its part of all requests.
 func (s *simulation) loaded(searcher int) bool {
-	return float64(len(s.arrivals[fmt.Sprint("s", searcher)])) > 0.35*s.rate/searchersPerVersion
+	return float64(len(s.arrivals[s.targets[searcher].Searcher.ID])) > 0.35*s.rate/searchersPerVersion
 }
 
 // within reports whether the time since the order is in the drawn window.
