--- a/cmd/wqhost/memory_test.go
+++ b/cmd/wqhost/memory_test.go
@@ -1,7 +1,6 @@
 package wqhost
 
 import (
-	"fmt"
 	"log/slog"
 	"testing"
 
@@ -31,7 +30,7 @@
 			must.Less(t, int64(0.4*136e6), bytes)
 			perSearcher := h.maxConnectionsPerSearcher(&wqplan.Plan{FleetSize: fleet, Pools: wqdirectory.Pools{"s": make([]*wqdirectory.Target, searchers)}})
 			descriptors += perSearcher*searchers + min(connectionsPerPeer*fleet, listeners[1].Budget.MaxConnections)
-			t.Log(fmt.Sprintf("%d VMs, %d searchers: %d connections to each, %d descriptors", fleet, searchers, perSearcher, descriptors))
+			t.Logf("%d VMs, %d searchers: %d connections to each, %d descriptors", fleet, searchers, perSearcher, descriptors)
 			must.LessEq(t, 4100, descriptors)
 		}
 	}
--- a/core/wqmemorybudget/budget.go
+++ b/core/wqmemorybudget/budget.go
@@ -263,8 +263,8 @@
 	if a.isLeaving {
 		b.leaving += n
 	}
-	if b.exempt == a && a.held <= b.ConnectionCost {
-		b.exempt = nil
+	if b.exempt == a && a.held-b.ConnectionCost <= (b.Limit-b.used)/2 {
+		b.exempt = nil // It is within its share again.
 	}
 }
 
