--- a/core/wqmemorybudget/budget.go
+++ b/core/wqmemorybudget/budget.go
@@ -207,6 +207,13 @@
 	b.add(a, b.ConnectionCost-a.held)
 }
 
+// MarkUsed notes that a connection has had a complete request and keeps what it holds.
+func (b *Budget[C]) MarkUsed(now time.Time, a *Account[C]) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	a.usedAt, a.isUsed = now, true
+}
+
 // Close ends an account, for any number of calls.
 func (b *Budget[C]) Close(a *Account[C]) {
 	b.mutex.Lock()
--- a/core/wqmemorybudget/budget_test.go
+++ b/core/wqmemorybudget/budget_test.go
@@ -127,6 +127,19 @@
 	must.True(t, ok)
 }
 
+// Guards against new connections that displace those whose requests were served, also
+// when these hold much while they are idle.
+func TestSilentConnectionGoesBeforeAUsedOne(t *testing.T) {
+	b := newBudget(2)
+	used, _ := b.Open(start, 1)
+	_, _ = b.Reserve(start, used, 4*cost)
+	used.AddProgress(start, 1)
+	b.MarkUsed(start, used)
+	_, _ = b.Open(start.Add(time.Second), 2)
+	_, toClose := b.Open(start.Add(2*time.Second), 3)
+	must.Eq(t, []int{2}, toClose)
+}
+
 // Guards against replies that nobody reads, whose sum exceeds the limit.
 func TestRepliesBeyondTheLimitAreClosed(t *testing.T) {
 	b := newBudget(100)
--- a/io/wqhttp/connection.go
+++ b/io/wqhttp/connection.go
@@ -199,6 +199,7 @@
 	c.streams.Add(1)
 	c.account.SetPhase(wqmemorybudget.Running)
 	return func() {
+		c.server.Budget.MarkUsed(time.Now(), c.account)
 		if c.streams.Add(-1) == 0 {
 			c.account.SetPhase(wqmemorybudget.Idle)
 		}
