Refuse requests that would wait beyond their objective, in the placement by cost

The placing VM now refuses, as not run, a request that would wait for more than 0.85 of the objective less its own cost (a quarter of the objective at most); the retry delay is half to one and a half of that wait. Nothing is refused while slots are free.

--- a/cmd/wqhost/placement.go
+++ b/cmd/wqhost/placement.go
@@ -18,6 +18,7 @@
 	p.Client, p.Plan, p.Log = client, h.controller.Plan, h.Log
 	h.relay.CostPlacement = p
 	h.metrics.AddGauge("host_placement_advised", "Requests for which the VM that places them chose the searcher, since the start.", func() float64 { return float64(p.Advised.Load()) })
+	h.metrics.AddGauge("host_placement_refused", "Requests refused because they would have waited beyond their objective, since the start.", func() float64 { return float64(p.Refused.Load()) })
 	h.metrics.AddGauge("host_placement_unasked", "Requests placed by this VM alone, because the VM that places them had not answered shortly before, since the start.", func() float64 { return float64(p.Unasked.Load()) })
 	h.metrics.AddGauge("host_placement_failures", "Calls to the VM that places requests without an answer in time, since the start.", func() float64 { return float64(p.Failures.Load()) })
 	h.metrics.AddGauge("host_placement_in_flight", "Sends in flight that this VM knows of as the one that places the requests of all.", func() float64 { return float64(p.Placer.InFlight()) })
--- a/core/wqplacer/message.go
+++ b/core/wqplacer/message.go
@@ -22,6 +22,7 @@
 	Kind      wqcost.Kind
 	Typical   time.Duration // Typical is the mean latency of the route there.
 	Remaining time.Duration // Remaining is the time until the deadline of the request.
+	Objective time.Duration // Objective is the time until the objective of the request; 0 for none.
 }
 
 // Report tells that a send has started or ended.
@@ -37,4 +38,5 @@
 	Searcher string        // Searcher is empty if there is none.
 	Wait     time.Duration // Wait is how long the request is expected to wait there.
 	Cost     time.Duration // Cost is the mean of its likely cost.
+	Refuse   bool          // Refuse means that the request would wait for so long that it misses its objective.
 }
--- a/core/wqplacer/placer.go
+++ b/core/wqplacer/placer.go
@@ -27,10 +27,12 @@
 )
 
 const (
-	maxSends      = 16384            // bounds the memory: further sends are not recorded
-	maxRemaining  = 30 * time.Second // bounds how long a send without an end counts
-	sweepInterval = time.Second      // time between two searches for sends whose end was not reported
-	reportDelay   = time.Second      // how long after its deadline the end of a send may still be reported
+	maxSends       = 16384            // bounds the memory: further sends are not recorded
+	maxRemaining   = 30 * time.Second // bounds how long a send without an end counts
+	sweepInterval  = time.Second      // time between two searches for sends whose end was not reported
+	objectiveShare = 0.85             // part of the objective by which a request is to end; costs and waits vary
+	maxCostShare   = 0.25             // part of the objective that a request's own cost counts at most, so that expensive requests are not the first to be refused
+	reportDelay    = time.Second      // how long after its deadline the end of a send may still be reported
 )
 
 // Placer places requests. It is safe for concurrent use.
@@ -100,10 +102,20 @@
 		return Advice{}
 	}
 	_, wait := p.work.Finish(now, t.Searcher.ID, policy.Slots(t), policy.Cost)
+	if q.Objective > 0 && wait > maxWait(q.Objective, policy.Cost.Mean()) {
+		return Advice{Refuse: true, Wait: wait, Cost: policy.Cost.Mean()}
+	}
 	p.start(now, sendID{m.From, q.Number}, q, t)
 	return Advice{Searcher: t.Searcher.ID, Wait: wait, Cost: policy.Cost.Mean()}
 }
 
+// maxWait returns how long a request may wait for a searcher. If all requests of an
+// overload were taken, all would miss their objective.
+func maxWait(objective, cost time.Duration) time.Duration {
+	counted := min(cost, time.Duration(maxCostShare*float64(objective)))
+	return time.Duration(objectiveShare*float64(objective)) - counted
+}
+
 // record applies one report. A searcher that is not in the pool any more gets no record.
 func (p *Placer) record(now time.Time, id sendID, r Report, pool []*wqdirectory.Target) {
 	s := p.sends[id]
--- a/core/wqplacer/placer_test.go
+++ b/core/wqplacer/placer_test.go
@@ -138,3 +138,25 @@
 		}
 	})
 }
+
+// The load of a service over its capacity: guards against taking so many requests that
+// all of them miss their objective, and against refusing any while slots are free.
+func TestRequestsThatWouldMissTheirObjectiveAreRefused(t *testing.T) {
+	p, pools := wqplacer.New(), newPools("x", "y")
+	taken := 0
+	for i := range uint64(40) {
+		q := request(i)
+		q.Objective = 400 * time.Millisecond
+		a := p.Handle(start, wqplacer.Message{From: "a", Request: q}, pools, 2, noNoise)
+		must.True(t, a.Refuse == (a.Searcher == ""))
+		if !a.Refuse {
+			taken++
+		}
+	}
+	must.Between(t, 8, taken, 16, must.Sprint("4 slots, 100 ms each, 400 ms"))
+	q := request(99)
+	must.False(t, p.Handle(start, wqplacer.Message{From: "a", Request: q}, pools, 2, noNoise).Refuse, must.Sprint("no objective"))
+	dear := request(1)
+	dear.Typical, dear.Objective = time.Second, 400*time.Millisecond
+	must.False(t, wqplacer.New().Handle(start, wqplacer.Message{Request: dear}, pools, 2, noNoise).Refuse, must.Sprint("searchers are idle"))
+}
--- a/io/wqpeer/placement.go
+++ b/io/wqpeer/placement.go
@@ -41,6 +41,7 @@
 	BodyBytes       int    `json:"body_bytes,omitempty"`
 	TypicalMicros   int64  `json:"typical_micros,omitempty"`
 	RemainingMicros int64  `json:"remaining_micros,omitempty"`
+	ObjectiveMicros int64  `json:"objective_micros,omitempty"`
 }
 
 type placementReport struct {
@@ -55,12 +56,13 @@
 	Searcher   string `json:"searcher,omitempty"`
 	WaitMicros int64  `json:"wait_micros,omitempty"`
 	CostMicros int64  `json:"cost_micros,omitempty"`
+	Refuse     bool   `json:"refuse,omitempty"`
 }
 
 func encodePlacementRequest(q *wqplacer.Request) placementRequest {
 	return placementRequest{
 		Number: q.Number, Service: q.Service, Zone: q.Zone, Route: q.Kind.Route, Tenant: q.Kind.Tenant, Method: q.Kind.Method, Path: q.Kind.Path,
-		BodyBytes: q.Kind.BodyBytes, TypicalMicros: q.Typical.Microseconds(), RemainingMicros: q.Remaining.Microseconds(),
+		BodyBytes: q.Kind.BodyBytes, TypicalMicros: q.Typical.Microseconds(), RemainingMicros: q.Remaining.Microseconds(), ObjectiveMicros: q.Objective.Microseconds(),
 	}
 }
 
@@ -68,7 +70,7 @@
 	return wqplacer.Request{
 		Number: q.Number, Service: q.Service, Zone: q.Zone,
 		Kind:    wqcost.Kind{Route: q.Route, Tenant: q.Tenant, Method: q.Method, Path: q.Path, BodyBytes: q.BodyBytes},
-		Typical: fromMicros(q.TypicalMicros), Remaining: fromMicros(q.RemainingMicros),
+		Typical: fromMicros(q.TypicalMicros), Remaining: fromMicros(q.RemainingMicros), Objective: fromMicros(q.ObjectiveMicros),
 	}
 }
 
@@ -127,7 +129,7 @@
 	if err := json.NewDecoder(io.LimitReader(received, maxPlacementBytes)).Decode(&a); err != nil {
 		return wqplacer.Advice{}, err
 	}
-	return wqplacer.Advice{Searcher: a.Searcher, Wait: fromMicros(a.WaitMicros), Cost: fromMicros(a.CostMicros)}, nil
+	return wqplacer.Advice{Searcher: a.Searcher, Wait: fromMicros(a.WaitMicros), Cost: fromMicros(a.CostMicros), Refuse: a.Refuse}, nil
 }
 
 // servePlacement handles a message of another VM.
@@ -144,5 +146,5 @@
 	a := h.Placement(m.decode())
 	w.Header().Set("Content-Type", "application/json")
 	// On an error the sender gets no advice.
-	_ = json.NewEncoder(w).Encode(placementAdvice{Searcher: a.Searcher, WaitMicros: a.Wait.Microseconds(), CostMicros: a.Cost.Microseconds()})
+	_ = json.NewEncoder(w).Encode(placementAdvice{Searcher: a.Searcher, WaitMicros: a.Wait.Microseconds(), CostMicros: a.Cost.Microseconds(), Refuse: a.Refuse})
 }
--- a/io/wqpeer/placement_test.go
+++ b/io/wqpeer/placement_test.go
@@ -19,7 +19,7 @@
 
 func TestPlacementMessageArrivesUnchanged(t *testing.T) {
 	q := wqplacer.Request{
-		Number: 7, Service: "orders", Zone: "a", Typical: 160 * time.Millisecond, Remaining: 2 * time.Second,
+		Number: 7, Service: "orders", Zone: "a", Typical: 160 * time.Millisecond, Remaining: 2 * time.Second, Objective: time.Second,
 		Kind: wqcost.Kind{Route: "r-1", Tenant: "acme", Method: "GET", Path: "/orders/eu/", BodyBytes: 120},
 	}
 	sent := wqplacer.Message{From: "vm-1/5", Request: &q, Reports: []wqplacer.Report{{Request: q, Searcher: "x"}, {Request: wqplacer.Request{Number: 6, Service: "orders"}, Searcher: "y", Ended: true, Outcome: wqsend.Cancelled}}}
--- a/io/wqrelay/cost.go
+++ b/io/wqrelay/cost.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"wisteriaquay/core/wqcall"
@@ -51,6 +52,7 @@
 	}
 	q.asked = wqplacer.Request{
 		Service: services[0], Zone: r.Zone, Kind: q.kind.Shortened(), Typical: q.typical, Remaining: c.Arrived.Add(maxDuration(c, route)).Sub(now),
+		Objective: timeToObjective(now, c, route),
 	}
 	q.placer = wqplacer.Choose(services[0], plan.Hubs)
 	if q.placer == nil {
@@ -59,12 +61,27 @@
 	q.asked.Number = p.lastNumber.Add(1)
 	q.advice = p.ask(ctx, q.placer, q.asked)
 	q.policy.Advised, q.policy.AdvisedWait = q.advice.Searcher, q.advice.Wait
-	if q.advice.Searcher != "" {
+	if q.advice.Searcher != "" || q.advice.Refuse {
 		q.placement = wqcall.Placement{By: q.placer.Searcher.ID, Searcher: q.advice.Searcher, Cost: q.advice.Cost, Wait: q.advice.Wait}
 	}
 	return q
 }
 
+// timeToObjective returns the time until the objective of a call; 0 for none.
+func timeToObjective(now time.Time, c *wqcall.Call, route *wqroute.Route) time.Duration {
+	if route.Objective <= 0 {
+		return 0
+	}
+	return max(c.Arrived.Add(route.Objective).Sub(now), 1)
+}
+
+// refusal returns the reply to a request that would wait for too long. It has not run,
+// and may be retried when about half of the work that is waiting has been done.
+func (q *placedRequest) refusal() wqcall.Reply {
+	retryAfter := time.Duration((0.5 + rand.Float64()) * float64(q.advice.Wait))
+	return wqcall.Reply{Status: wqcall.NotRun, Reason: "all searchers have too much work to answer within the objective", RetryAfter: retryAfter, Placement: q.placement}
+}
+
 // workSend is one send as the placement by cost sees it. The zero value records nothing.
 type workSend struct {
 	placement *CostPlacement
--- a/io/wqrelay/cost_test.go
+++ b/io/wqrelay/cost_test.go
@@ -74,6 +74,7 @@
 type fakePlacer struct {
 	hangs   atomic.Bool
 	asked   atomic.Int64
+	refuses atomic.Bool
 	reports chan wqplacer.Report
 }
 
@@ -88,6 +89,9 @@
 	for _, r := range m.Reports {
 		p.reports <- r
 	}
+	if p.refuses.Load() {
+		return wqplacer.Advice{Refuse: true, Wait: time.Second}, nil
+	}
 	return wqplacer.Advice{Searcher: "y", Cost: 60 * time.Millisecond}, nil
 }
 
@@ -117,6 +121,18 @@
 	})
 }
 
+func TestRefusedRequestIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &fakePlacer{}
+		p.refuses.Store(true)
+		r, s := newPlacedRelay(p)
+		reply := r.Serve(t.Context(), newCall("/one/x"))
+		must.Eq(t, wqcall.NotRun, reply.Status)
+		must.Between(t, 500*time.Millisecond, reply.RetryAfter, 1500*time.Millisecond)
+		must.Eq(t, 0, len(s.sends))
+	})
+}
+
 // Guards against a frozen placing VM that delays every request of the fleet.
 func TestPlacingVMThatDoesNotAnswerDelaysFewRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -132,7 +148,7 @@
 		}
 		must.Between(t, 1, p.asked.Load(), 4)
 		p.hangs.Store(false)
-		time.Sleep(8 * time.Second)
+		time.Sleep(10 * time.Second) // longer than it is left alone
 		r.Serve(t.Context(), newCall("/one/x"))
 		must.Eq(t, "y", <-s.sends, must.Sprint("it is asked again"))
 		time.Sleep(time.Second)
--- a/io/wqrelay/costplacement.go
+++ b/io/wqrelay/costplacement.go
@@ -51,6 +51,7 @@
 	Log     *slog.Logger
 
 	Advised  atomic.Int64 // Advised counts the requests for which there was advice.
+	Refused  atomic.Int64 // Refused counts the requests that were refused because they would have waited for too long.
 	Unasked  atomic.Int64 // Unasked counts those placed without, since the placing VM had not answered shortly before.
 	Failures atomic.Int64 // Failures counts the calls for advice that failed.
 
@@ -107,6 +108,9 @@
 	if a.Searcher != "" {
 		p.Advised.Add(1)
 	}
+	if a.Refuse {
+		p.Refused.Add(1)
+	}
 	return a
 }
 
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -180,6 +180,9 @@
 	defer cancel()
 	latency := r.latencies.Estimator(route.Name, route.Objective)
 	placed := r.place(ctx, c, plan, route, services)
+	if placed.advice.Refuse {
+		return placed.refusal()
+	}
 	d := &driver[S, P]{
 		relay: r, call: c, latency: latency, placed: placed, cancels: make(map[int]context.CancelFunc),
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
--- a/test/wqplacementmodel/leastwork.go
+++ b/test/wqplacementmodel/leastwork.go
@@ -68,7 +68,7 @@
 	v.policy.numbers++
 	return wqplacer.Request{
 		Number: v.policy.numbers, Service: v.model.services[0], Zone: v.zone, Kind: q.attributes(),
-		Typical: v.model.Fleet.Objective / 6, Remaining: q.arrived.Add(v.model.Fleet.Timeout).Sub(v.model.now),
+		Typical: v.model.Fleet.Objective / 6, Objective: v.model.Fleet.Objective, Remaining: q.arrived.Add(v.model.Fleet.Timeout).Sub(v.model.now),
 	}
 }
 
--- a/test/wqplacementmodel/request.go
+++ b/test/wqplacementmodel/request.go
@@ -58,6 +58,11 @@
 
 func (q *request) place() {
 	m := q.model
+	if q.advice.Refuse {
+		q.gather = &wqgather.Gather[wqgather.Picker, hedgePolicy]{}
+		q.end(wqgather.Refused)
+		return
+	}
 	for _, s := range m.services {
 		q.vm.quota.CountRequest(m.now, s)
 	}
@@ -114,7 +119,7 @@
 			answered++
 		}
 	}
-	q.model.report.add(q, s, float64(answered)/float64(len(q.gather.Services)))
+	q.model.report.add(q, s, float64(answered)/float64(max(len(q.gather.Services), 1)))
 }
 
 func (q *request) startSends(sends []wqgather.Send) {
