--- a/core/wqplacer/placer_test.go
+++ b/core/wqplacer/placer_test.go
@@ -160,3 +160,16 @@
 	dear.Typical, dear.Objective = time.Second, 400*time.Millisecond
 	must.False(t, wqplacer.New().Handle(start, wqplacer.Message{Request: dear}, pools, 2, noNoise).Refuse, must.Sprint("searchers are idle"))
 }
+
+// One request and the report of its end, for docs/CAPACITY.md.
+func BenchmarkHandle(b *testing.B) {
+	p, pools := wqplacer.New(), newPools("a", "b", "c", "d", "e", "f", "g", "h", "i")
+	now := start
+	for n := range uint64(b.N) {
+		now = now.Add(6 * time.Millisecond)
+		a := p.Handle(now, wqplacer.Message{From: "vm", Request: request(n)}, pools, 143, n)
+		if n >= 20 {
+			p.Handle(now, wqplacer.Message{From: "vm", Reports: []wqplacer.Report{answered(n-20, a.Searcher)}}, pools, 143, n)
+		}
+	}
+}
--- a/io/wqrelay/cost.go
+++ b/io/wqrelay/cost.go
@@ -18,8 +18,8 @@
 	"wisteriaquay/core/wqwork"
 )
 
-// placedRequest is what the placement by cost knows of one request. The zero value is
-// a request that is placed by latency.
+// placedRequest is what the placement by cost knows of one request. Without
+// policy.Work the request is placed by latency.
 type placedRequest struct {
 	policy    wqselector.LeastWork // without the embedded LeastLatency
 	kind      wqcost.Kind
@@ -36,18 +36,21 @@
 }
 
 // place estimates the cost of a request and asks the placing VM of its service, if
-// there is one. It returns the zero value if the relay places by latency.
+// there is one. Without a ledger in the result, the request is placed by latency.
 func (r *Relay[S, P]) place(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route, services []string) placedRequest {
 	p := r.CostPlacement
 	if p == nil {
 		return placedRequest{}
 	}
 	q := placedRequest{kind: costKind(c, route), typical: r.latencies.Estimator(route.Name, route.Objective).MeanLatency()}
+	if q.typical < minPlacedLatency {
+		return q
+	}
 	now := time.Now()
 	q.policy.Work, q.policy.Owner = p.Work, c
 	q.policy.Cost = p.Costs.Estimate(now, q.kind, q.typical)
 	q.placement = wqcall.Placement{By: p.VM, Cost: q.policy.Cost.Mean()}
-	if route.FanOut() || len(plan.Pools[services[0]]) < 2 || q.typical < minAskedLatency {
+	if route.FanOut() || len(plan.Pools[services[0]]) < 2 {
 		return q
 	}
 	q.asked = wqplacer.Request{
@@ -93,7 +96,7 @@
 // startWork records the start of a send for the placement by cost.
 func (d *driver[S, P]) startWork(now time.Time, s wqgather.Send) workSend {
 	p := d.relay.CostPlacement
-	if p == nil {
+	if p == nil || d.placed.policy.Work == nil {
 		return workSend{}
 	}
 	t := s.Target.Searcher
--- a/io/wqrelay/costplacement.go
+++ b/io/wqrelay/costplacement.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	// minAskedLatency is the latency of a route from which the placing VM is asked,
-	// which takes up to 8 ms and one more call.
-	minAskedLatency = 25 * time.Millisecond
+	// minPlacedLatency is the mean latency of a route's sends from which its requests are
+	// placed by cost. Below, the network latency counts as much as the work, and hedges
+	// that may be in vain gain more than they cost: sends of 6.7 ms, at half load, see
+	// docs/measurements/placement.md.
+	minPlacedLatency = 20 * time.Millisecond
 	// askTimeout bounds the wait for advice: a round trip to another availability zone
 	// takes 8 ms, and the placing VM may be busy.
 	askTimeout     = 30 * time.Millisecond
