--- a/io/wqrelay/cost.go
+++ b/io/wqrelay/cost.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"wisteriaquay/core/wqcall"
@@ -17,8 +18,8 @@
 	"wisteriaquay/core/wqwork"
 )
 
-// placedRequest is what the placement by cost knows of one request. The zero value is
-// a request that is placed by latency.
+// placedRequest is what the placement by cost knows of one request. Without
+// policy.Work the request is placed by latency.
 type placedRequest struct {
 	policy    wqselector.LeastWork // without the embedded LeastLatency
 	kind      wqcost.Kind
@@ -35,22 +36,26 @@
 }
 
 // place estimates the cost of a request and asks the placing VM of its service, if
-// there is one. It returns the zero value if the relay places by latency.
+// there is one. Without a ledger in the result, the request is placed by latency.
 func (r *Relay[S, P]) place(ctx context.Context, c *wqcall.Call, plan *wqplan.Plan, route *wqroute.Route, services []string) placedRequest {
 	p := r.CostPlacement
 	if p == nil {
 		return placedRequest{}
 	}
 	q := placedRequest{kind: costKind(c, route), typical: r.latencies.Estimator(route.Name, route.Objective).MeanLatency()}
+	if q.typical < minPlacedLatency {
+		return q
+	}
 	now := time.Now()
 	q.policy.Work, q.policy.Owner = p.Work, c
 	q.policy.Cost = p.Costs.Estimate(now, q.kind, q.typical)
 	q.placement = wqcall.Placement{By: p.VM, Cost: q.policy.Cost.Mean()}
-	if route.FanOut() || len(plan.Pools[services[0]]) < 2 || q.typical < minAskedLatency {
+	if route.FanOut() || len(plan.Pools[services[0]]) < 2 {
 		return q
 	}
 	q.asked = wqplacer.Request{
 		Service: services[0], Zone: r.Zone, Kind: q.kind.Shortened(), Typical: q.typical, Remaining: c.Arrived.Add(maxDuration(c, route)).Sub(now),
+		Objective: timeToObjective(now, c, route),
 	}
 	q.placer = wqplacer.Choose(services[0], plan.Hubs)
 	if q.placer == nil {
@@ -59,12 +64,27 @@
 	q.asked.Number = p.lastNumber.Add(1)
 	q.advice = p.ask(ctx, q.placer, q.asked)
 	q.policy.Advised, q.policy.AdvisedWait = q.advice.Searcher, q.advice.Wait
-	if q.advice.Searcher != "" {
+	if q.advice.Searcher != "" || q.advice.Refuse {
 		q.placement = wqcall.Placement{By: q.placer.Searcher.ID, Searcher: q.advice.Searcher, Cost: q.advice.Cost, Wait: q.advice.Wait}
 	}
 	return q
 }
 
+// timeToObjective returns the time until the objective of a call; 0 for none.
+func timeToObjective(now time.Time, c *wqcall.Call, route *wqroute.Route) time.Duration {
+	if route.Objective <= 0 {
+		return 0
+	}
+	return max(c.Arrived.Add(route.Objective).Sub(now), 1)
+}
+
+// refusal returns the reply to a request that would wait for too long. It has not run,
+// and may be retried when about half of the work that is waiting has been done.
+func (q *placedRequest) refusal() wqcall.Reply {
+	retryAfter := time.Duration((0.5 + rand.Float64()) * float64(q.advice.Wait))
+	return wqcall.Reply{Status: wqcall.NotRun, Reason: "all searchers have too much work to answer within the objective", RetryAfter: retryAfter, Placement: q.placement}
+}
+
 // workSend is one send as the placement by cost sees it. The zero value records nothing.
 type workSend struct {
 	placement *CostPlacement
@@ -76,7 +96,7 @@
 // startWork records the start of a send for the placement by cost.
 func (d *driver[S, P]) startWork(now time.Time, s wqgather.Send) workSend {
 	p := d.relay.CostPlacement
-	if p == nil {
+	if p == nil || d.placed.policy.Work == nil {
 		return workSend{}
 	}
 	t := s.Target.Searcher
