--- a/core/wqquota/ledger.go
+++ b/core/wqquota/ledger.go
@@ -17,7 +17,7 @@
 	pauseLength    = time.Second            // pauseLength is the time without a call from which this process counts as paused, so that reports may be lost.
 	maxAccounts    = 50_000                 // maxAccounts bounds the accounts of a ledger or a gate, at 1 KB and 0.3 KB each.
 	idleWindows    = 2                      // idleWindows is the number of windows after which an account without requests is dropped.
-	standInEntry   = 0.3                    // standInEntry is the part of the count for strict mode at which an owner enters it that is asked in place of another: it does not know which VMs that one still grants to.
+	standInEntry   = 0.3                    // standInEntry is the part of the count for strict mode at which an owner enters it that is asked in place of another, or that may be cut off: it does not know which VMs another owner still grants to.
 	maxPushBackoff = 2                      // maxPushBackoff bounds the doublings of pushInterval.
 	maxRosters     = 16                     // maxRosters bounds the changes of the list of VMs in one window that are told apart.
 	maxPushEntries = 256                    // maxPushEntries bounds the accounts in one push.
@@ -61,6 +61,7 @@
 	accounts map[string]*account
 	rosters  []datedRoster // rosters of the last window, the one in force last.
 	blindTo  time.Time     // blindTo is the time until which reports may be missing after a start or a pause.
+	doubtTo  time.Time     // doubtTo is the time until which this VM may be cut off from others, which then have owners of their own.
 	lastCall time.Time
 	changes  []Change
 }
@@ -106,6 +107,13 @@
 	l.lastCall = now
 }
 
+// ContactFailed records that another VM did not answer. This owner may be cut off together
+// with some VMs, and finds out by entering strict mode early.
+func (l *Ledger) ContactFailed(now time.Time) {
+	l.Tick(now)
+	l.doubtTo = now.Add(contactTime)
+}
+
 // Expire drops the accounts without requests.
 func (l *Ledger) Expire(now time.Time) {
 	for name, a := range l.accounts {
@@ -285,14 +293,17 @@
 // updateMode enters or leaves strict mode.
 func (l *Ledger) updateMode(now time.Time, tenant string, a *account) {
 	entry, count := a.limit.strictEntry(), float64(a.window.count(now))
-	blind := l.blind(now, tenant)
-	if blind {
+	blind, doubtful := l.blind(now, tenant), now.Before(l.doubtTo)
+	switch {
+	case doubtful:
+		entry *= standInEntry
+	case blind:
 		entry /= 2
 	}
 	switch {
 	case !a.strict && count >= math.Max(entry, 1):
 		l.beginStrict(now, tenant, a, blind)
-	case a.strict && count < exitShare*entry && !blind && now.Sub(a.strictSince) >= l.Bound.Window:
+	case a.strict && count < exitShare*entry && !blind && !doubtful && now.Sub(a.strictSince) >= l.Bound.Window:
 		a.strict, a.acked, a.pushing = false, nil, false
 		l.recordChange(now, tenant, a, blind)
 	}
--- a/io/wqlimiter/charge.go
+++ b/io/wqlimiter/charge.go
@@ -185,7 +185,7 @@
 	defer l.mutex.Unlock()
 	now := time.Now()
 	l.unreachable[v.ID] = now.Add(avoidTime)
-	l.gate.ContactFailed(now)
+	l.doubtContact(now)
 }
 
 // ContactFailed records that another VM did not answer a heartbeat: this VM may be cut
@@ -197,7 +197,13 @@
 	l.start()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.gate.ContactFailed(time.Now())
+	l.doubtContact(time.Now())
+}
+
+// doubtContact records that this VM may be cut off. The lock must be held.
+func (l *Limiter[P, T]) doubtContact(now time.Time) {
+	l.gate.ContactFailed(now)
+	l.ledger.ContactFailed(now)
 }
 
 // recordGrant counts a call that an owner has granted.
--- a/io/wqlimiter/compare_test.go
+++ b/io/wqlimiter/compare_test.go
@@ -16,18 +16,28 @@
 // scenario is a load and a failure, which begins at faultTime, with the surge.
 type scenario struct {
 	name  string
-	fails bool // fails is true if requests under the quota may be refused.
+	fails bool          // fails is true if requests under the quota may be refused.
+	delay time.Duration // delay is the time from the beginning of the failure to that of the surge.
+}
+
+// title names the scenario in the table.
+func (s scenario) title() string {
+	if s.delay == 0 {
+		return s.name
+	}
+	return s.name + ", surge " + s.delay.String() + " later"
 }
 
 var scenarios = []scenario{
-	{"no failure", false},
-	{"owner killed", true},
-	{"owner frozen 8 s", true},
-	{"owner cut off one way", true},
-	{"zone cut off 9 s", true},
-	{"third cut off 9 s", true},
-	{"all killed", true},
-	{"half killed", true},
+	{"no failure", false, 0},
+	{"owner killed", true, 0},
+	{"owner frozen 8 s", true, 0},
+	{"owner cut off one way", true, 0},
+	{"zone cut off 9 s", true, 0},
+	{"zone cut off 9 s", true, 3 * time.Second},
+	{"third cut off 9 s", true, 0},
+	{"all killed", true, 0},
+	{"half killed", true, 0},
 }
 
 const (
@@ -97,7 +107,7 @@
 		f := newFleet[P](vms, accountCount, load, seed)
 		inject(f, s)
 		const duration = 30 * time.Second
-		f.load(duration, faultTime, faultTime+6*time.Second, surger, 7.5)
+		f.load(duration, faultTime+s.delay, faultTime+s.delay+6*time.Second, surger, 7.5)
 		r.share, r.overshoot, r.account = f.excess(f.tenants, 0)
 		r.refused = float64(f.refused) / float64(max(f.under, 1))
 		r.wait = f.waited / time.Duration(f.requests())
@@ -138,7 +148,7 @@
 				simulate func(*testing.T, scenario, int, float64, uint64) result
 			}{{"equal shares", simulate[wqquota.EqualShares]}, {"always ask", simulate[wqquota.AlwaysAsk]}, {"free and strict", simulate[wqquota.FreeAndStrict]}} {
 				r := p.simulate(t, s, c.vms, c.load, 7)
-				t.Logf("| %d | %.0f | %s | %s | %.2f | %.2f | %.2f%% | %.2f ms | %.0f | %.0f |", c.vms, c.load, s.name, p.name, r.share, 1+r.overshoot, 100*r.refused, float64(r.wait.Microseconds())/1000, r.messages, r.bytes)
+				t.Logf("| %d | %.0f | %s | %s | %.2f | %.2f | %.2f%% | %.2f ms | %.0f | %.0f |", c.vms, c.load, s.title(), p.name, r.share, 1+r.overshoot, 100*r.refused, float64(r.wait.Microseconds())/1000, r.messages, r.bytes)
 			}
 		}
 	}
--- a/io/wqlimiter/exchange.go
+++ b/io/wqlimiter/exchange.go
@@ -159,7 +159,7 @@
 // of their accounts is unknown: the next request asks.
 func (l *Limiter[P, T]) requeue(now time.Time, v wqquota.VM, taken map[string]*events) {
 	l.unreachable[v.ID] = now.Add(avoidTime)
-	l.gate.ContactFailed(now)
+	l.doubtContact(now)
 	for tenant, e := range taken {
 		later := l.pending(v.ID, tenant, e.limit)
 		later.admitted, later.returned = append(e.admitted, later.admitted...), append(e.returned, later.returned...)
