Refuse by the work that is surely in flight, and not on an old view

While the ends of sends are reported 5 s late, each counts until its deadline, and the placing VM refused requests of a service at half of its capacity. Refusals now go by sends that are not overdue and stop while a tenth of the ends are not reported in time.

--- a/core/wqplacer/placer.go
+++ b/core/wqplacer/placer.go
@@ -27,12 +27,14 @@
 )
 
 const (
-	maxSends       = 16384            // bounds the memory: further sends are not recorded
-	maxRemaining   = 30 * time.Second // bounds how long a send without an end counts
-	sweepInterval  = time.Second      // time between two searches for sends whose end was not reported
-	objectiveShare = 0.85             // part of the objective by which a request is to end; costs and waits vary
-	maxCostShare   = 0.25             // part of the objective that a request's own cost counts at most, so that expensive requests are not the first to be refused
-	reportDelay    = time.Second      // how long after its deadline the end of a send may still be reported
+	maxSends          = 16384            // bounds the memory: further sends are not recorded
+	maxRemaining      = 30 * time.Second // bounds how long a send without an end counts
+	sweepInterval     = time.Second      // time between two searches for sends whose end was not reported
+	objectiveShare    = 0.85             // part of the objective by which a request is to end; costs and waits vary
+	maxCostShare      = 0.25             // part of the objective that a request's own cost counts at most, so that expensive requests are not the first to be refused
+	maxUnknownEnds    = 0.1              // share of ends that were not reported in time from which nothing is refused, since what seems to be in flight may have ended
+	unknownEndsWeight = 0.02             // weight of an end in that share
+	reportDelay       = time.Second      // how long after its deadline the end of a send may still be reported
 )
 
 // Placer places requests. It is safe for concurrent use.
@@ -41,9 +43,10 @@
 	work    *wqwork.Ledger
 	costs   *wqcost.Estimator
 
-	mutex     sync.Mutex
-	sends     map[sendID]*send
-	lastSweep time.Time
+	mutex       sync.Mutex
+	sends       map[sendID]*send
+	lastSweep   time.Time
+	unknownEnds float64 // share of the latest sends whose end was not reported in time
 }
 
 // sendID identifies a send of a process.
@@ -102,7 +105,8 @@
 		return Advice{}
 	}
 	_, wait := p.work.Finish(now, t.Searcher.ID, policy.Slots(t), policy.Cost)
-	if q.Objective > 0 && wait > maxWait(q.Objective, policy.Cost.Mean()) {
+	queue := p.work.Queue(now, t.Searcher.ID, policy.Slots(t))
+	if q.Objective > 0 && queue > maxWait(q.Objective, policy.Cost.Mean()) && p.unknownEnds < maxUnknownEnds {
 		return Advice{Refuse: true, Wait: wait, Cost: policy.Cost.Mean()}
 	}
 	p.start(now, sendID{m.From, q.Number}, q, t)
@@ -119,6 +123,10 @@
 // record applies one report. A searcher that is not in the pool any more gets no record.
 func (p *Placer) record(now time.Time, id sendID, r Report, pool []*wqdirectory.Target) {
 	s := p.sends[id]
+	known := s != nil
+	if known && r.Ended {
+		p.countEnd(0)
+	}
 	if s != nil && (r.Ended || s.searcher != r.Searcher) {
 		o := r.Outcome
 		if !r.Ended || s.searcher != r.Searcher {
@@ -127,6 +135,9 @@
 		p.end(now, id, s, o)
 		s = nil
 	}
+	if s == nil && r.Ended && !known {
+		p.countEnd(1)
+	}
 	if s != nil || r.Ended {
 		return
 	}
@@ -169,10 +180,16 @@
 	for id, s := range p.sends {
 		if now.Sub(s.deadline) > reportDelay || s.deadline.Sub(now) > maxRemaining {
 			p.end(now, id, s, wqsend.Withheld)
+			p.countEnd(1)
 		}
 	}
 }
 
+// countEnd counts the end of a send: 1 if it was not reported in time, else 0.
+func (p *Placer) countEnd(unknown float64) {
+	p.unknownEnds += unknownEndsWeight * (unknown - p.unknownEnds)
+}
+
 // InFlight returns the number of sends that are recorded as in flight.
 func (p *Placer) InFlight() int {
 	p.mutex.Lock()
--- a/core/wqplacer/placer_test.go
+++ b/core/wqplacer/placer_test.go
@@ -161,6 +161,24 @@
 	must.False(t, wqplacer.New().Handle(start, wqplacer.Message{Request: dear}, pools, 2, noNoise).Refuse, must.Sprint("searchers are idle"))
 }
 
+// The load of a service while the ends of sends are reported 5 s late, as by VMs that
+// were cut off: guards against refusing requests because sends seem to be in flight.
+func TestOldViewRefusesNothingForLong(t *testing.T) {
+	p, pools := wqplacer.New(), newPools("x", "y")
+	late, refused := make(map[int][]wqplacer.Report), 0
+	for n := range 2000 { // 25 sends a second for 80 s, half of what 4 slots can do
+		now := start.Add(time.Duration(n) * 40 * time.Millisecond)
+		q := request(uint64(n))
+		q.Objective = 600 * time.Millisecond
+		a := p.Handle(now, wqplacer.Message{From: "a", Request: q, Reports: late[n]}, pools, 2, uint64(n)*0x9e3779b97f4a7c15)
+		if a.Refuse && n > 500 {
+			refused++
+		}
+		late[n+125] = append(late[n+125], answered(uint64(n), a.Searcher))
+	}
+	must.Eq(t, 0, refused, must.Sprint("after 20 s"))
+}
+
 // One request and the report of its end, for docs/CAPACITY.md.
 func BenchmarkHandle(b *testing.B) {
 	p, pools := wqplacer.New(), newPools("a", "b", "c", "d", "e", "f", "g", "h", "i")
--- a/core/wqwork/ledger.go
+++ b/core/wqwork/ledger.go
@@ -31,6 +31,7 @@
 	minSlowness   = 0.5             // searchers differ in speed by 1.6 times; one that seems faster than this answers wrongly
 	suspectShare  = 0.125           // an answer after less than this part of the cost may be wrong: it shows no speed, and its send counts as in flight for the whole cost, so that such a searcher does not get everything
 	ageWeight     = 2               // sends in flight that count as much as the slowness learned before
+	overdueFactor = 3               // times the expected time after which a send is overdue
 	maxAge        = time.Minute     // a send without a deadline is forgotten after this time
 	maxEntries    = 16384           // bounds the memory: one more searcher clears all entries
 	maxSends      = 512             // sends in flight to one searcher that are considered
@@ -111,6 +112,27 @@
 	return wait + scaled(cost.Mean(), e.currentSlowness(now, slots)), wait
 }
 
+// Queue returns the least time that a further send would wait, by the answers alone:
+// sends that are overdue, whose end may not have been reported, do not count, and none
+// counts for more than its cost.
+func (l *Ledger) Queue(now time.Time, searcherID string, slots int) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	e := l.entries[searcherID]
+	if e == nil {
+		return 0
+	}
+	slowness := math.Exp(e.slownessAt(now))
+	sum := time.Duration(0)
+	for _, s := range e.sends {
+		mean := scaled(s.cost.Mean(), slowness)
+		if now.Sub(s.startedAt) <= overdueFactor*(s.wait+mean) {
+			sum += min(s.remaining(now, slowness), mean)
+		}
+	}
+	return sum / time.Duration(max(slots, 1))
+}
+
 // Remaining returns the expected time until the owner's send to a searcher ends, and
 // false if there is none in flight.
 func (l *Ledger) Remaining(now time.Time, searcherID string, slots int, owner any) (time.Duration, bool) {
