Give the credit of a quota to requests that can be answered in time

Change: a request that has used up half of its objective before it arrives is granted only what leaves a quarter of the bucket to others. Without pressure nothing changes for it.

The test plays an account at four times its quota whose callers come back.

--- a/core/wqcall/call.go
+++ b/core/wqcall/call.go
@@ -29,10 +29,13 @@
 	// Identified is true once the caller's client account was determined. A sender then
 	// sets the account to Tenant, whatever the caller sent, and to none if it is empty.
 	Identified bool
-	Tenant     string        // client account of the caller; empty for an anonymous caller
-	Key        KeyUse        // how the caller was identified; zero for an anonymous caller
-	Priority   int           // rank of the call, 0 is the highest: that of the client account, else of the route
-	ChargedAt  time.Time     // when the call was counted against the quota of its account; zero if it was not
-	Arrived    time.Time     // when the first VM received its header
-	Timeout    time.Duration // how long the caller waits, from Arrived; 0 means as long as the route allows
+	Tenant     string // client account of the caller; empty for an anonymous caller
+	Key        KeyUse // how the caller was identified; zero for an anonymous caller
+	// Late is true if the call has waited elsewhere for so long that an answer within the
+	// objective of its route can't be expected, as after a refusal.
+	Late      bool
+	Priority  int           // rank of the call, 0 is the highest: that of the client account, else of the route
+	ChargedAt time.Time     // when the call was counted against the quota of its account; zero if it was not
+	Arrived   time.Time     // when the first VM received its header
+	Timeout   time.Duration // how long the caller waits, from Arrived; 0 means as long as the route allows
 }
--- a/core/wqquota/bucket.go
+++ b/core/wqquota/bucket.go
@@ -7,6 +7,9 @@
 	bucketEntry = 0.3
 	// bucketExit is the part of a full bucket from which strict mode may end.
 	bucketExit = 0.6
+	// lateReserve is the part of a full bucket that is left to requests which can still be
+	// answered within their objective.
+	lateReserve = 0.25
 	// blindPace is the time from which an owner that does not know all requests of the
 	// last window grants the quota's rate. Until then VMs that have started together do
 	// not know each other, and each of them may take itself for an owner.
--- a/core/wqquota/bucket_test.go
+++ b/core/wqquota/bucket_test.go
@@ -64,3 +64,28 @@
 	}
 	must.Between(t, 8, granted, 10, must.Sprint("a window of 5 s holds 2"))
 }
+
+// The load of an account that sends four times its quota, whose callers come back after a
+// refusal. Guards against credit that goes to requests which come back late, so that the
+// callers of all requests get late answers.
+func TestCreditGoesToRequestsThatCanBeAnsweredInTime(t *testing.T) {
+	limit := Limit{Rate: 28, Burst: 28, Bound: wqbound.Quota{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}}
+	start := time.Unix(1000, 0)
+	l := &Ledger{Self: "a", Bound: limit.Bound, StartedAt: start, FirstStart: true}
+	l.SetRoster(start, NewRoster([]VM{{ID: "a", Zone: "z", Epoch: 1}}, 1))
+	inTime, late := 0, 0
+	for i := range 6 * 112 {
+		now := start.Add(time.Duration(i) * time.Second / 112)
+		if l.Ask(now, limit, "t").Granted {
+			inTime++
+		}
+		if i > 112 && l.AskLate(now, limit, "t").Granted { // Refused a second ago.
+			late++
+		}
+		l.Acknowledge(now, VM{ID: "a", Epoch: 1}, Entry{Tenant: "t"}, Answer{Full: true})
+	}
+	must.Eq(t, 0, late)
+	must.Between(t, 28+6*28, inTime, 38+6*28)
+	quiet := start.Add(6500 * time.Millisecond)
+	must.True(t, l.AskLate(quiet, limit, "t").Granted, must.Sprint("half a second of credit is left over"))
+}
--- a/core/wqquota/ledger.go
+++ b/core/wqquota/ledger.go
@@ -197,6 +197,18 @@
 
 // Ask grants or refuses one request.
 func (l *Ledger) Ask(now time.Time, limit Limit, tenant string) Answer {
+	return l.ask(now, limit, tenant, 1)
+}
+
+// AskLate grants or refuses a request that can't be answered within its objective. While
+// an account sends more than its quota, its callers gain most if the requests that can be
+// get the credit.
+func (l *Ledger) AskLate(now time.Time, limit Limit, tenant string) Answer {
+	return l.ask(now, limit, tenant, max(1, lateReserve*limit.bucketSize()))
+}
+
+// ask grants one request if the bucket holds at least the level given.
+func (l *Ledger) ask(now time.Time, limit Limit, tenant string, level float64) Answer {
 	a := l.account(now, tenant, limit)
 	if a == nil {
 		return Answer{Tenant: tenant, Strict: true, Blind: true, Wait: l.Bound.Window}
@@ -210,7 +222,7 @@
 	}
 	answer := Answer{Tenant: tenant, Blind: blind}
 	granted := l.granted(now, a, blind)
-	if count := a.window.count(now); a.bucket.level >= 1 && float64(count+1) <= granted {
+	if count := a.window.count(now); a.bucket.level >= level && float64(count+1) <= granted {
 		a.window.add(now, now)
 		a.bucket.take()
 		answer.Granted = true
--- a/core/wqquota/quota.go
+++ b/core/wqquota/quota.go
@@ -96,6 +96,7 @@
 	Burst       float64         //
 	Admitted    []time.Duration // Admitted holds the ages of the requests that the sender admitted.
 	Returned    []time.Duration // Returned holds the ages of those among earlier ones that have not run.
+	Late        bool            // Late is true in an Ask for a request that can't be answered within its objective.
 	WantHistory bool            // WantHistory asks for the ages of the receiver's own requests.
 }
 
--- a/io/wqlimiter/charge.go
+++ b/io/wqlimiter/charge.go
@@ -93,7 +93,7 @@
 // could be reached.
 func (l *Limiter[P, T]) ask(ctx context.Context, c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster) (reply wqcall.Reply, decided, granted bool) {
 	for attempt := 1; ; attempt++ {
-		answer, by, reached := l.askOwners(ctx, c.Tenant, limit, roster)
+		answer, by, reached := l.askOwners(ctx, c, limit, roster)
 		switch {
 		case !reached:
 			return wqcall.Reply{}, false, false
@@ -110,9 +110,9 @@
 
 // askOwners asks the owners in turn until one knows all requests of the last window, and
 // returns its answer, else the last one.
-func (l *Limiter[P, T]) askOwners(ctx context.Context, tenant string, limit wqquota.Limit, roster *wqquota.Roster) (last wqquota.Answer, by wqquota.VM, reached bool) {
-	for _, v := range l.askOrder(roster, tenant) {
-		answer, ok := l.askOne(ctx, v, tenant, limit)
+func (l *Limiter[P, T]) askOwners(ctx context.Context, c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster) (last wqquota.Answer, by wqquota.VM, reached bool) {
+	for _, v := range l.askOrder(roster, c.Tenant) {
+		answer, ok := l.askOne(ctx, v, c, limit)
 		if !ok {
 			continue
 		}
@@ -130,7 +130,9 @@
 	defer l.mutex.Unlock()
 	now := time.Now()
 	l.setStrict(now, c.Tenant, answer.Strict, by.ID)
-	l.gate.Refused(now, c.Tenant, answer.Wait)
+	if !c.Late { // Others may be granted what a late request is not.
+		l.gate.Refused(now, c.Tenant, answer.Wait)
+	}
 	if answer.Blind {
 		return l.refuse(c, modeBlind, answer.Wait)
 	}
@@ -158,20 +160,20 @@
 }
 
 // askOne asks one owner, which may be this VM.
-func (l *Limiter[P, T]) askOne(ctx context.Context, v wqquota.VM, tenant string, limit wqquota.Limit) (wqquota.Answer, bool) {
+func (l *Limiter[P, T]) askOne(ctx context.Context, v wqquota.VM, c *wqcall.Call, limit wqquota.Limit) (wqquota.Answer, bool) {
 	if v.ID == l.Self.ID {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
-		answer := l.ledger.Ask(time.Now(), limit, tenant)
+		answer := l.askLedger(time.Now(), limit, c.Tenant, c.Late)
 		l.signal()
 		return answer, true
 	}
 	askCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := l.Transport.SendQuota(askCtx, v, wqquota.Message{
-		From: l.Self.ID, Kind: wqquota.Ask, Entries: []wqquota.Entry{{Tenant: tenant, Rate: limit.Rate, Burst: limit.Burst}},
+		From: l.Self.ID, Kind: wqquota.Ask, Entries: []wqquota.Entry{{Tenant: c.Tenant, Rate: limit.Rate, Burst: limit.Burst, Late: c.Late}},
 	})
-	if err != nil || len(reply.Answers) != 1 || reply.Answers[0].Tenant != tenant {
+	if err != nil || len(reply.Answers) != 1 || reply.Answers[0].Tenant != c.Tenant {
 		if ctx.Err() == nil { // The caller is still there.
 			l.recordFailure(v)
 		}
@@ -180,6 +182,14 @@
 	return reply.Answers[0], true
 }
 
+// askLedger asks the ledger of this VM for one request. The lock must be held.
+func (l *Limiter[P, T]) askLedger(now time.Time, limit wqquota.Limit, tenant string, late bool) wqquota.Answer {
+	if late {
+		return l.ledger.AskLate(now, limit, tenant)
+	}
+	return l.ledger.Ask(now, limit, tenant)
+}
+
 func (l *Limiter[P, T]) recordFailure(v wqquota.VM) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/io/wqlimiter/exchange.go
+++ b/io/wqlimiter/exchange.go
@@ -244,7 +244,7 @@
 	case wqquota.Report:
 		answer.Strict = l.ledger.Add(now, l.limitOfEntry(e), *e)
 	case wqquota.Ask:
-		answer = l.ledger.Ask(now, l.limitOfEntry(e), e.Tenant)
+		answer = l.askLedger(now, l.limitOfEntry(e), e.Tenant, e.Late)
 	case wqquota.Push:
 		l.setStrict(now, e.Tenant, true, from)
 		if from != l.Self.ID {
--- a/io/wqpeer/quota.go
+++ b/io/wqpeer/quota.go
@@ -35,6 +35,7 @@
 	Burst       float64 `json:"burst,omitempty"`
 	Admitted    []int64 `json:"admitted_millis,omitempty"` // Admitted holds the ages of requests.
 	Returned    []int64 `json:"returned_millis,omitempty"`
+	Late        bool    `json:"late,omitempty"`
 	WantHistory bool    `json:"want_history,omitempty"`
 }
 
@@ -112,7 +113,7 @@
 	for i := range m.Entries {
 		e := &m.Entries[i]
 		encoded.Entries = append(encoded.Entries, quotaEntry{
-			Tenant: e.Tenant, RatePerS: e.Rate, Burst: e.Burst, Admitted: toMillis(e.Admitted), Returned: toMillis(e.Returned), WantHistory: e.WantHistory,
+			Tenant: e.Tenant, RatePerS: e.Rate, Burst: e.Burst, Admitted: toMillis(e.Admitted), Returned: toMillis(e.Returned), Late: e.Late, WantHistory: e.WantHistory,
 		})
 	}
 	return encoded
@@ -135,7 +136,7 @@
 			return wqquota.Message{}, false
 		}
 		decoded.Entries = append(decoded.Entries, wqquota.Entry{
-			Tenant: e.Tenant, Rate: e.RatePerS, Burst: e.Burst, Admitted: fromMillis(e.Admitted), Returned: fromMillis(e.Returned), WantHistory: e.WantHistory,
+			Tenant: e.Tenant, Rate: e.RatePerS, Burst: e.Burst, Admitted: fromMillis(e.Admitted), Returned: fromMillis(e.Returned), Late: e.Late, WantHistory: e.WantHistory,
 		})
 	}
 	return decoded, true
--- a/io/wqrelay/quota.go
+++ b/io/wqrelay/quota.go
@@ -24,9 +24,17 @@
 	if !ok || c.Tenant == "" || r.Quota.Charge == nil {
 		return reply, ok
 	}
+	c.Late = isLate(c, route)
 	return r.Quota.Charge(ctx, c, table.Tenants.Tenant(c.Tenant))
 }
 
+// isLate reports whether a call has used up half of its route's objective before it
+// arrived. Callers wait as long as the route allows, so less is left to one that comes
+// back after a refusal.
+func isLate(c *wqcall.Call, route *wqroute.Route) bool {
+	return c.Timeout > 0 && route.Objective > 0 && route.Timeout-c.Timeout > route.Objective/2
+}
+
 // returnCredit takes back the charge of a call whose reply proves that it has not run.
 func (r *Relay[S, P]) returnCredit(c *wqcall.Call, reply *wqcall.Reply) {
 	notRun := reply.Status == wqcall.NotRun || reply.Status == wqcall.Unauthorized
