--- a/test/tier/rollout_test.go
+++ b/test/tier/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 	f = wqfakeplatform.Start(t, wqfakeplatform.Options{VMs: vms, Shards: shardCount, Rollouts: true})
 	f.PutConfiguration(f.Configuration(1, initialShards))
 	f.WaitReady()
+	t.Cleanup(func() { logSteps(t, f) })
 	stop = startReads(f, 40)
 	time.Sleep(time.Second)
 	f.AddVersion("orders", "a", "v2", b)
@@ -29,6 +31,21 @@
 	return f, ordered, stop
 }
 
+// logSteps prints why the rollouts of a failed test ended as they did.
+func logSteps(t *testing.T, f *wqfakeplatform.Fleet) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	for _, vm := range f.VMs {
+		for line := range strings.SplitSeq(vm.Log(), "\n") {
+			if strings.Contains(line, `"rollout `) {
+				t.Log(line)
+			}
+		}
+	}
+}
+
 // startReads sends this many requests a second to the service orders, to all VMs that run
 // in turn.
 func startReads(f *wqfakeplatform.Fleet, perSecond int) (stop func()) {
