--- a/test/tier/tenant_test.go
+++ b/test/tier/tenant_test.go
@@ -72,7 +72,11 @@
 // one that is refused with 401 by a VM that has no configuration yet.
 func TestKeysChangeEverywhereWhileTheStoreRefusesOneVM(t *testing.T) {
 	f := wqfakeplatform.Start(t, wqfakeplatform.Options{VMs: 4, Shards: shardCount})
-	must.Eq(t, http.StatusServiceUnavailable, f.SendWithHeader(f.VMs[0], http.MethodGet, "/one/x", "", time.Second, bearer(oldKey)).Code)
+	code := 0
+	for deadline := time.Now().Add(10 * time.Second); code == 0 && time.Now().Before(deadline); { // Until the process listens.
+		code = f.SendWithHeader(f.VMs[0], http.MethodGet, "/one/x", "", time.Second, bearer(oldKey)).Code
+	}
+	must.Eq(t, http.StatusServiceUnavailable, code)
 	f.PutConfiguration(tenantConfiguration(f, 1, oldKey))
 	f.WaitReady()
 	f.VMs[1].StoreProxy.Disconnect()
--- a/test/wqfakeplatform/fleet.go
+++ b/test/wqfakeplatform/fleet.go
@@ -53,7 +53,7 @@
 	fleet            *Fleet
 	settingsPath     string
 	cmd              *exec.Cmd
-	exited           chan struct{}
+	exited           atomic.Pointer[chan struct{}] // that of the process that was started last
 }
 
 // Fleet is a number of VMs with the fake store and the fake searchers that they
@@ -231,12 +231,13 @@
 	vm.cmd = exec.CommandContext(context.Background(), vm.fleet.program, "host", "--settings", vm.settingsPath, "--log-per-second", "1000", "--metrics-port", vm.metricsPort())
 	vm.cmd.Stdout, vm.cmd.Stderr = log, log
 	must.NoError(vm.fleet.t, vm.cmd.Start())
-	vm.exited = make(chan struct{})
+	exited := make(chan struct{})
+	vm.exited.Store(&exited)
 	go func(cmd *exec.Cmd, ended chan struct{}) {
 		_ = cmd.Wait() // Tests kill processes on purpose.
 		_ = log.Close()
 		close(ended)
-	}(vm.cmd, vm.exited)
+	}(vm.cmd, exited)
 }
 
 // metricsPort returns the port of the metrics listener.
@@ -256,7 +257,7 @@
 // Signal sends a signal to the process, or does nothing if it has exited.
 func (vm *VM) Signal(s syscall.Signal) {
 	select {
-	case <-vm.exited:
+	case <-vm.Exited():
 	default:
 		_ = vm.cmd.Process.Signal(s)
 	}
@@ -265,17 +266,17 @@
 // Kill sends SIGKILL to the process and waits until it has exited.
 func (vm *VM) Kill() {
 	vm.Signal(syscall.SIGKILL)
-	<-vm.exited
+	<-vm.Exited()
 }
 
 // Exited returns a channel that is closed when the process has exited.
-func (vm *VM) Exited() <-chan struct{} { return vm.exited }
+func (vm *VM) Exited() <-chan struct{} { return *vm.exited.Load() }
 
 // Running reports whether the process has not exited; it may be stopped by
 // SIGSTOP.
 func (vm *VM) Running() bool {
 	select {
-	case <-vm.exited:
+	case <-vm.Exited():
 		return false
 	default:
 		return true
