--- a/cmd/wqhost/tenants.go
+++ b/cmd/wqhost/tenants.go
@@ -7,13 +7,15 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotagate"
+	"wisteriaquay/core/wqquotaroster"
 	"wisteriaquay/io/wqlimiter"
 	"wisteriaquay/io/wqpeer"
 	"wisteriaquay/io/wqrelay"
 )
 
 // quotaLimiter keeps the quotas of client accounts.
-type quotaLimiter = wqlimiter.Limiter[wqquota.FreeAndStrict, *wqpeer.Client]
+type quotaLimiter = wqlimiter.Limiter[wqquotagate.FreeAndStrict, *wqpeer.Client]
 
 // permits reports whether the caller of a call may still be served under the
 // configuration in force.
@@ -34,7 +36,7 @@
 	}
 	m := h.member()
 	h.limiter = &quotaLimiter{
-		Self: wqquota.VM{ID: m.ID, Address: m.Address, Zone: m.Zone, Epoch: m.Epoch, Capacity: m.Capacity}, Plan: h.controller.Plan, Bound: bound, Transport: peers,
+		Self: wqquotaroster.VM{ID: m.ID, Address: m.Address, Zone: m.Zone, Epoch: m.Epoch, Capacity: m.Capacity}, Plan: h.controller.Plan, Bound: bound, Transport: peers,
 		StartedAt: time.Now(), FirstStart: h.Settings.FirstStart, Random: rand.Float64, CountRefusal: h.metrics.AddQuotaRefusals(), Log: h.Log,
 	}
 	peers.OnHeartbeatFailed = h.limiter.ContactFailed
--- a/core/wqquota/quota.go
+++ b/core/wqquota/quota.go
@@ -1,22 +1,17 @@
-// Package wqquota decides which requests of a client account its quota allows, over all
-// VMs of a fleet.
+// Package wqquota holds the limits of client accounts and the messages on them that VMs
+// exchange, to apply an account's quota over all VMs of a fleet.
 //
-// Each account has owners, chosen by rendezvous hashing from the live VMs. An owner's
-// Ledger counts the account's requests in a sliding window. A VM's Gate admits requests
-// at once (free mode) and reports them to the owners, until an owner sees the account
-// come near its quota and tells all VMs to ask before each request (strict mode). A VM
-// that reaches no owner admits an equal share of the quota by itself.
+// Each account has owners, chosen by rendezvous hashing from the live VMs
+// (wqquotaroster). An owner's ledger counts the account's requests in a sliding window
+// (wqquotaledger). A VM's gate admits requests at once (free mode) and reports them to the
+// owners, until an owner sees the account come near its quota and tells all VMs to ask
+// before each request (strict mode). A VM that reaches no owner admits an equal share of
+// the quota by itself (wqquotagate).
 //
 // # Usage
 //
-//	gate := &wqquota.Gate[wqquota.FreeAndStrict]{Bound: bound, Random: random}
-//	switch gate.Choose(now, tenant) {
-//	case wqquota.AdmitNow: ...
-//	case wqquota.AskOwner: ... ledger.Ask on an owner ...
-//	case wqquota.UseShare: ... gate.TryShare ...
-//	}
-//
-// Neither type is safe for concurrent use.
+//	limit := wqquota.Limit{Rate: 100, Burst: 20, Bound: bound}
+//	m := wqquota.Message{From: id, Kind: wqquota.Ask, Entries: []wqquota.Entry{{Tenant: tenant, Rate: limit.Rate, Burst: limit.Burst}}}
 package wqquota
 
 import (
@@ -25,14 +20,18 @@
 	"wisteriaquay/core/wqbound"
 )
 
-// Parts of the reserve, which is what the deployment's bound allows beside the quota.
 const (
-	usableReserve = 0.5  // An owner grants this part beside the quota in a window, so that a request under the quota is not refused for those that VMs admitted beyond it before strict mode.
-	bucketReserve = 0.25 // An owner grants this part beside the burst, so that a request under the quota is not refused for the order in which reports arrive.
-	entryQuota    = 0.75
-	entryReserve  = 0.1 // Strict mode begins at entryQuota of the quota and entryReserve of the reserve: at 4.7 times the quota's rate, 0.4 s before the bound.
-	unknownShare  = 1.5 // An owner leaves this part of its equal share to each live VM that it can't reach, which admits some requests before it notices.
-	exitShare     = 0.9 // Strict mode ends under this share of the count at which it begins.
+	// MaxAccounts bounds the accounts of a ledger or a gate, at 1 KB and 0.3 KB each.
+	MaxAccounts = 50_000
+	// IdleWindows is the number of windows after which an account without requests is dropped.
+	IdleWindows = 2
+	// PauseLength is the time without a call from which a process counts as paused, so that
+	// reports may be lost.
+	PauseLength = time.Second
+	// ContactTime is longer than a VM takes to send a heartbeat to each neighbour.
+	ContactTime = 2500 * time.Millisecond
+	// VMSlots is the resolution of a VM's own count, 50 ms for a window of 5 s.
+	VMSlots = 100
 )
 
 // Limit is the limit of one account.
@@ -48,30 +47,6 @@
 // Ceiling returns the requests in a window that the deployment allows at most.
 func (l Limit) Ceiling() float64 { return l.Quota()*(1+l.Bound.Overshoot) + l.Bound.Slack }
 
-func (l Limit) reserve() float64 { return l.Ceiling() - l.Quota() }
-
-// granted returns how many requests an owner may have counted in a window that knows of
-// the requests of known VMs, of live ones and of a fleet that also has VMs which may run
-// without being reachable.
-func (l Limit) granted(known, live, fleet int) float64 {
-	return usableReserve*l.reserve() + l.Quota()*l.share(known, live, fleet)
-}
-
-// share returns the part of the quota that an owner may grant, which leaves their equal
-// shares to the VMs that it does not know of.
-func (l Limit) share(known, live, fleet int) float64 {
-	live = max(live, 1)
-	fleet, known = max(fleet, live), min(known, live)
-	unknown := float64(fleet - known)
-	if 2*unknown <= float64(fleet) { // The smaller part of a fleet leaves the others their equal share.
-		unknown += (unknownShare - 1) * float64(live-known)
-	}
-	return max(0, 1-unknown/float64(fleet))
-}
-
-// strictEntry returns the count at which strict mode begins.
-func (l Limit) strictEntry() float64 { return entryQuota*l.Quota() + entryReserve*l.reserve() }
-
 // Kind is the purpose of a Message.
 type Kind uint8
 
--- a/core/wqquota/gate.go
+++ b/core/wqquotagate/gate.go
@@ -1,19 +1,34 @@
-package wqquota
+// Package wqquotagate decides what a VM does with each request of a client account that
+// has a quota: it admits the request at once, asks an owner of the account, or decides by
+// its own share of the quota. Package wqquota describes how owners and VMs work together.
+//
+// # Usage
+//
+//	gate := &wqquotagate.Gate[wqquotagate.FreeAndStrict]{Bound: bound, Random: random}
+//	switch choice, wait := gate.Choose(now, tenant); choice {
+//	case wqquotagate.AdmitNow: ...
+//	case wqquotagate.AskOwner: ... Ask of the ledger of an owner ...
+//	case wqquotagate.UseShare: ... gate.TryShare ...
+//	case wqquotagate.RefuseNow: ... refuse for wait ...
+//	}
+//
+// A Gate is not safe for concurrent use.
+package wqquotagate
 
 import (
 	"math"
 	"time"
 
 	"wisteriaquay/core/wqbound"
+	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotawindow"
 )
 
 const (
-	gateSlots       = 100                     // gateSlots is the resolution of a VM's own count, 50 ms for a window of 5 s.
-	localShare      = 0.7                     // localShare is the part of its equal share that a VM uses without an owner; the rest covers what it admitted before it noticed.
-	refusalLifetime = 50 * time.Millisecond   // refusalLifetime is the longest time in which a refusal of an owner holds for further requests.
-	strictLifetime  = time.Hour               // strictLifetime is how long strict mode of an account without requests is remembered.
-	contactTime     = 2500 * time.Millisecond // contactTime is longer than a VM takes to send a heartbeat to each neighbour.
-	maxHistory      = 1024                    // maxHistory bounds the requests in one history.
+	localShare      = 0.7                   // localShare is the part of its equal share that a VM uses without an owner; the rest covers what it admitted before it noticed.
+	refusalLifetime = 50 * time.Millisecond // refusalLifetime is the longest time in which a refusal of an owner holds for further requests.
+	strictLifetime  = time.Hour             // strictLifetime is how long strict mode of an account without requests is remembered.
+	maxHistory      = 1024                  // maxHistory bounds the requests in one history.
 )
 
 // Choice is what a VM does with a request.
@@ -74,7 +89,7 @@
 
 // gateAccount is the state of one account at a VM.
 type gateAccount struct {
-	own        window
+	own        wqquotawindow.Window
 	strict     bool
 	strictAt   time.Time // strictAt is when the mode was first known or last changed.
 	refuseTo   time.Time
@@ -91,7 +106,7 @@
 			g.cautiousTo = g.StartedAt.Add(g.Bound.Window)
 			g.forgetfulTo = g.cautiousTo
 		}
-	} else if now.Sub(g.lastCall) > pauseLength {
+	} else if now.Sub(g.lastCall) > wqquota.PauseLength {
 		g.cautiousTo = now.Add(g.Bound.Window)
 	}
 	g.lastCall = now
@@ -101,7 +116,7 @@
 // for each request until all of its neighbours had time to answer.
 func (g *Gate[P]) ContactFailed(now time.Time) {
 	g.Tick(now)
-	if to := now.Add(contactTime); to.After(g.cautiousTo) {
+	if to := now.Add(wqquota.ContactTime); to.After(g.cautiousTo) {
 		g.cautiousTo = to
 	}
 }
@@ -110,7 +125,7 @@
 // next request would otherwise be admitted at once, on each VM again and again.
 func (g *Gate[P]) Expire(now time.Time) {
 	for name, a := range g.accounts {
-		if idle := now.Sub(a.usedAt); idle > strictLifetime || !a.strict && idle > idleWindows*g.Bound.Window {
+		if idle := now.Sub(a.usedAt); idle > strictLifetime || !a.strict && idle > wqquota.IdleWindows*g.Bound.Window {
 			delete(g.accounts, name)
 		}
 	}
@@ -120,8 +135,8 @@
 	g.Tick(now)
 	a := g.accounts[tenant]
 	if a == nil {
-		a = &gateAccount{own: newWindow(now, g.Bound.Window, gateSlots), draw: g.Random()}
-		if len(g.accounts) < maxAccounts {
+		a = &gateAccount{own: wqquotawindow.New(now, g.Bound.Window, wqquota.VMSlots), draw: g.Random()}
+		if len(g.accounts) < wqquota.MaxAccounts {
 			g.accounts[tenant] = a
 		}
 	}
@@ -141,11 +156,11 @@
 }
 
 // Count counts a request that was admitted by any choice.
-func (g *Gate[P]) Count(now time.Time, tenant string) { g.account(now, tenant).own.add(now, now) }
+func (g *Gate[P]) Count(now time.Time, tenant string) { g.account(now, tenant).own.Add(now, now) }
 
 // Return takes back a request that was counted at a time and has not run.
 func (g *Gate[P]) Return(now, at time.Time, tenant string) {
-	g.account(now, tenant).own.remove(now, at)
+	g.account(now, tenant).own.Remove(now, at)
 }
 
 // SetStrict records the mode that an owner has stated, or that no owner could be told of
@@ -176,7 +191,7 @@
 
 // TryShare counts a request and returns true if this VM's own share of the quota allows
 // it. Otherwise it returns the time until it may.
-func (g *Gate[P]) TryShare(now time.Time, tenant string, limit Limit, fleet int) (bool, time.Duration) {
+func (g *Gate[P]) TryShare(now time.Time, tenant string, limit wqquota.Limit, fleet int) (bool, time.Duration) {
 	a := g.account(now, tenant)
 	if now.Before(g.forgetfulTo) {
 		return false, g.forgetfulTo.Sub(now)
@@ -186,12 +201,12 @@
 	if limit.Quota() <= limit.Bound.Slack {
 		allowed = max(allowed, 1) // The slack covers one request of each VM that such an account reaches.
 	}
-	count := a.own.count(now)
+	count := a.own.Count(now)
 	if count < allowed {
-		a.own.add(now, now)
+		a.own.Add(now, now)
 		return true, 0
 	}
-	wait := a.own.untilLeft(now, max(count-allowed+1, 1))
+	wait := a.own.UntilLeft(now, max(count-allowed+1, 1))
 	return false, time.Duration(float64(wait) * (0.5 + 0.5*g.Random()))
 }
 
@@ -199,6 +214,6 @@
 // knows them all.
 func (g *Gate[P]) History(now time.Time, tenant string) ([]time.Duration, bool) {
 	a := g.account(now, tenant)
-	ages := a.own.ages(now, maxHistory)
+	ages := a.own.Ages(now, maxHistory)
 	return ages, !now.Before(g.forgetfulTo) && len(ages) < maxHistory
 }
--- a/core/wqquota/bucket.go
+++ b/core/wqquotaledger/bucket.go
@@ -1,6 +1,10 @@
-package wqquota
+package wqquotaledger
 
-import "time"
+import (
+	"time"
+
+	"wisteriaquay/core/wqquota"
+)
 
 const (
 	// bucketEntry is the part of a full bucket under which strict mode begins.
@@ -24,32 +28,32 @@
 }
 
 // bucketSize returns the level of a full bucket, which holds one request at least.
-func (l Limit) bucketSize() float64 { return max(1, l.Burst+bucketReserve*l.reserve()) }
+func bucketSize(l wqquota.Limit) float64 { return max(1, l.Burst+bucketReserve*reserve(l)) }
 
 // newBucket returns a full bucket, or for an owner that does not know earlier requests one
 // that holds only what may be exceeded, and fills after blindPace.
-func newBucket(now time.Time, l Limit, blind bool) bucket {
+func newBucket(now time.Time, l wqquota.Limit, blind bool) bucket {
 	if blind {
-		return bucket{level: bucketReserve * l.reserve(), at: now.Add(blindPace)}
+		return bucket{level: bucketReserve * reserve(l), at: now.Add(blindPace)}
 	}
-	return bucket{level: l.bucketSize(), at: now}
+	return bucket{level: bucketSize(l), at: now}
 }
 
 // fill adds what has accrued until now. Share is the part of the rate that VMs which the
 // owner can't reach do not use by themselves.
-func (b *bucket) fill(now time.Time, l Limit, share float64) {
+func (b *bucket) fill(now time.Time, l wqquota.Limit, share float64) {
 	if now.After(b.at) {
 		b.level += l.Rate * share * now.Sub(b.at).Seconds()
 		b.at = now
 	}
-	b.level = min(b.level, l.bucketSize())
+	b.level = min(b.level, bucketSize(l))
 }
 
 // take takes one request out.
 func (b *bucket) take() { b.level = max(0, b.level-1) }
 
 // wait returns the time until the n-th request from now may be granted.
-func (b *bucket) wait(now time.Time, l Limit, n int) time.Duration {
+func (b *bucket) wait(now time.Time, l wqquota.Limit, n int) time.Duration {
 	seconds := max(0, float64(n)-b.level) / l.Rate
 	return max(0, b.at.Sub(now)) + time.Duration(min(seconds, 60)*float64(time.Second))
 }
--- a/core/wqquota/ledger.go
+++ b/core/wqquotaledger/ledger.go
@@ -1,4 +1,17 @@
-package wqquota
+// Package wqquotaledger counts the requests of the client accounts that a VM owns, grants
+// or refuses requests by their quotas, and decides when an account is in strict mode.
+// Package wqquota describes how owners and VMs work together.
+//
+// # Usage
+//
+//	l := &wqquotaledger.Ledger{Self: id, Bound: bound, StartedAt: now}
+//	l.SetRoster(now, roster)
+//	strict := l.Add(now, limit, entry) // a report of admitted requests
+//	answer := l.Ask(now, limit, tenant)
+//	for _, p := range l.DuePushes(now) { ... send it, then l.Acknowledge ... }
+//
+// A Ledger is not safe for concurrent use.
+package wqquotaledger
 
 import (
 	"math"
@@ -6,6 +19,9 @@
 	"time"
 
 	"wisteriaquay/core/wqbound"
+	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotaroster"
+	"wisteriaquay/core/wqquotawindow"
 )
 
 const (
@@ -14,9 +30,6 @@
 	standInDelay   = 80 * time.Millisecond  // standInDelay is the time in which an owner leaves it to the one before it to tell the VMs of strict mode.
 	toldLifetime   = time.Minute            // toldLifetime is the time in which VMs that were told of strict mode are not told by another owner; they leave it only if an owner says so.
 	pushInterval   = time.Second            // pushInterval is the time between two pushes to VMs that have not acknowledged one.
-	pauseLength    = time.Second            // pauseLength is the time without a call from which this process counts as paused, so that reports may be lost.
-	maxAccounts    = 50_000                 // maxAccounts bounds the accounts of a ledger or a gate, at 1 KB and 0.3 KB each.
-	idleWindows    = 2                      // idleWindows is the number of windows after which an account without requests is dropped.
 	standInEntry   = 0.3                    // standInEntry is the part of the count for strict mode at which an owner enters it that is asked in place of another, or that may be cut off: it does not know which VMs another owner still grants to.
 	maxPushBackoff = 2                      // maxPushBackoff bounds the doublings of pushInterval.
 	maxRosters     = 16                     // maxRosters bounds the changes of the list of VMs in one window that are told apart.
@@ -32,8 +45,8 @@
 
 // account is the state of one client account at an owner.
 type account struct {
-	limit       Limit
-	window      window
+	limit       wqquota.Limit
+	window      wqquotawindow.Window
 	bucket      bucket
 	since       time.Time // since is when this owner began to get all reports.
 	strict      bool
@@ -68,16 +81,16 @@
 }
 
 type datedRoster struct {
-	*Roster
+	*wqquotaroster.Roster
 	from time.Time
 }
 
 // SetRoster replaces the list of live VMs. An account that this VM did not own before, or
 // no longer owns, is forgotten: reports on it were or will be missed.
-func (l *Ledger) SetRoster(now time.Time, r *Roster) {
+func (l *Ledger) SetRoster(now time.Time, r *wqquotaroster.Roster) {
 	l.Tick(now)
 	for name := range l.accounts {
-		if !r.owns(l.Self, name) || len(l.rosters) > 0 && !l.rosters[len(l.rosters)-1].owns(l.Self, name) {
+		if !r.Owns(l.Self, name) || len(l.rosters) > 0 && !l.rosters[len(l.rosters)-1].Owns(l.Self, name) {
 			delete(l.accounts, name)
 		}
 	}
@@ -98,10 +111,10 @@
 		if !l.FirstStart {
 			l.blindTo = l.StartedAt.Add(l.Bound.Window)
 		}
-	} else if now.Sub(l.lastCall) > pauseLength {
+	} else if now.Sub(l.lastCall) > wqquota.PauseLength {
 		l.blindTo = now.Add(l.Bound.Window)
 		for _, a := range l.accounts {
-			a.window = newWindow(now, l.Bound.Window, ledgerSlots) // The VMs report their requests again when they are told of strict mode.
+			a.window = wqquotawindow.New(now, l.Bound.Window, ledgerSlots) // The VMs report their requests again when they are told of strict mode.
 			a.since, a.acked, a.nextPush, a.pushingFrom = now, make(map[vmKey]bool), now, now
 			a.bucket = newBucket(now, a.limit, true)
 		}
@@ -113,13 +126,13 @@
 // with some VMs, and finds out by entering strict mode early.
 func (l *Ledger) ContactFailed(now time.Time) {
 	l.Tick(now)
-	l.doubtTo = now.Add(contactTime)
+	l.doubtTo = now.Add(wqquota.ContactTime)
 }
 
 // Expire drops the accounts without requests.
 func (l *Ledger) Expire(now time.Time) {
 	for name, a := range l.accounts {
-		if now.Sub(a.usedAt) > idleWindows*l.Bound.Window {
+		if now.Sub(a.usedAt) > wqquota.IdleWindows*l.Bound.Window {
 			delete(l.accounts, name)
 		}
 	}
@@ -132,7 +145,7 @@
 	}
 	for i := range l.rosters {
 		ended := i+1 < len(l.rosters) && now.Sub(l.rosters[i+1].from) > l.Bound.Window
-		if !ended && !l.rosters[i].owns(l.Self, tenant) {
+		if !ended && !l.rosters[i].Owns(l.Self, tenant) {
 			return true
 		}
 	}
@@ -158,18 +171,18 @@
 	if len(l.rosters) == 0 {
 		return true
 	}
-	return l.rosters[len(l.rosters)-1].epochs[key.id] == key.epoch
+	return l.rosters[len(l.rosters)-1].Epoch(key.id) == key.epoch
 }
 
 // account returns the state of an account, nil if there are too many.
-func (l *Ledger) account(now time.Time, tenant string, limit Limit) *account {
+func (l *Ledger) account(now time.Time, tenant string, limit wqquota.Limit) *account {
 	l.Tick(now)
 	a := l.accounts[tenant]
 	if a == nil {
-		if len(l.accounts) >= maxAccounts {
+		if len(l.accounts) >= wqquota.MaxAccounts {
 			return nil
 		}
-		a = &account{window: newWindow(now, l.Bound.Window, ledgerSlots), since: now, bucket: newBucket(now, limit, l.blind(now, tenant))}
+		a = &account{window: wqquotawindow.New(now, l.Bound.Window, ledgerSlots), since: now, bucket: newBucket(now, limit, l.blind(now, tenant))}
 		l.accounts[tenant] = a
 	}
 	a.limit, a.usedAt = limit, now
@@ -178,17 +191,17 @@
 }
 
 // Add counts the requests of a report and returns true if the account is in strict mode.
-func (l *Ledger) Add(now time.Time, limit Limit, e Entry) bool {
+func (l *Ledger) Add(now time.Time, limit wqquota.Limit, e wqquota.Entry) bool {
 	a := l.account(now, e.Tenant, limit)
 	if a == nil {
 		return true
 	}
 	for _, age := range e.Admitted {
-		a.window.add(now, now.Add(-max(age, 0)))
+		a.window.Add(now, now.Add(-max(age, 0)))
 		a.bucket.take()
 	}
 	for _, age := range e.Returned {
-		a.window.remove(now, now.Add(-max(age, 0)))
+		a.window.Remove(now, now.Add(-max(age, 0)))
 		a.bucket.level++
 	}
 	l.updateMode(now, e.Tenant, a)
@@ -196,22 +209,22 @@
 }
 
 // Ask grants or refuses one request.
-func (l *Ledger) Ask(now time.Time, limit Limit, tenant string) Answer {
+func (l *Ledger) Ask(now time.Time, limit wqquota.Limit, tenant string) wqquota.Answer {
 	a := l.account(now, tenant, limit)
 	if a == nil {
-		return Answer{Tenant: tenant, Strict: true, Blind: true, Wait: l.Bound.Window}
+		return wqquota.Answer{Tenant: tenant, Strict: true, Blind: true, Wait: l.Bound.Window}
 	}
 	blind := l.blind(now, tenant)
-	if !a.strict && (blind || !l.ownsFirst(tenant) && a.window.count(now) >= int(a.limit.strictEntry()*standInEntry)) {
+	if !a.strict && (blind || !l.ownsFirst(tenant) && a.window.Count(now) >= int(strictEntry(a.limit)*standInEntry)) {
 		l.beginStrict(now, tenant, a, blind)
 	}
 	if a.strict && !a.pushing { // The first owner does not answer the VM that asks.
 		a.pushing, a.pushingFrom, a.nextPush = true, now, now
 	}
-	answer := Answer{Tenant: tenant, Blind: blind}
+	answer := wqquota.Answer{Tenant: tenant, Blind: blind}
 	granted := l.granted(now, a, blind)
-	if count := a.window.count(now); a.bucket.level >= 1 && float64(count+1) <= granted {
-		a.window.add(now, now)
+	if count := a.window.Count(now); a.bucket.level >= 1 && float64(count+1) <= granted {
+		a.window.Add(now, now)
 		a.bucket.take()
 		answer.Granted = true
 	} else {
@@ -228,9 +241,9 @@
 // bucket fills, so may each one whose requests are unknown have used it.
 func (l *Ledger) granted(now time.Time, a *account, blind bool) float64 {
 	if !blind && !a.strict {
-		return a.limit.granted(1, 1, 1)
+		return grantedCount(a.limit, 1, 1, 1)
 	}
-	return a.limit.granted(l.known(a, blind && now.Before(a.bucket.at)), l.liveCount(), l.fleetSize())
+	return grantedCount(a.limit, l.known(a, blind && now.Before(a.bucket.at)), l.liveCount(), l.fleetSize())
 }
 
 // paceShare returns the part of the rate at which the bucket of an account fills.
@@ -238,7 +251,7 @@
 	if !a.strict {
 		return 1
 	}
-	return a.limit.share(l.known(a, false), l.liveCount(), l.fleetSize())
+	return quotaShare(l.known(a, false), l.liveCount(), l.fleetSize())
 }
 
 // known returns the number of live VMs that know of strict mode, or only those whose own
@@ -262,7 +275,7 @@
 	a.promised++
 	wait := a.bucket.wait(now, a.limit, a.promised)
 	if excess := count - int(max(granted, 0)) + 1; excess > 0 {
-		wait = max(wait, a.window.untilLeft(now, excess))
+		wait = max(wait, a.window.UntilLeft(now, excess))
 	}
 	wait = min(wait, 2*a.limit.Bound.Window) // Clients that ignore their delay must not delay others for longer.
 	if to := now.Add(wait); to.After(a.promisedTo) {
@@ -289,7 +302,7 @@
 
 func (l *Ledger) recordChange(now time.Time, tenant string, a *account, blind bool) {
 	if len(l.changes) < maxChanges {
-		l.changes = append(l.changes, Change{Tenant: tenant, Strict: a.strict, Blind: blind, Count: a.window.count(now), Quota: a.limit.Quota()})
+		l.changes = append(l.changes, Change{Tenant: tenant, Strict: a.strict, Blind: blind, Count: a.window.Count(now), Quota: a.limit.Quota()})
 	}
 }
 
@@ -311,7 +324,7 @@
 
 // updateMode enters or leaves strict mode.
 func (l *Ledger) updateMode(now time.Time, tenant string, a *account) {
-	entry, count := a.limit.strictEntry(), float64(a.window.count(now))
+	entry, count := strictEntry(a.limit), float64(a.window.Count(now))
 	blind, doubtful := l.blind(now, tenant), now.Before(l.doubtTo)
 	switch {
 	case doubtful:
@@ -320,9 +333,9 @@
 		entry /= 2
 	}
 	switch {
-	case !a.strict && (count >= math.Max(entry, 1) || a.bucket.level < bucketEntry*a.limit.bucketSize()):
+	case !a.strict && (count >= math.Max(entry, 1) || a.bucket.level < bucketEntry*bucketSize(a.limit)):
 		l.beginStrict(now, tenant, a, blind)
-	case a.strict && count < exitShare*entry && a.bucket.level >= bucketExit*a.limit.bucketSize() && !blind && !doubtful && now.Sub(a.strictSince) >= l.Bound.Window:
+	case a.strict && count < exitShare*entry && a.bucket.level >= bucketExit*bucketSize(a.limit) && !blind && !doubtful && now.Sub(a.strictSince) >= l.Bound.Window:
 		a.strict, a.acked, a.pushing = false, nil, false
 		l.recordChange(now, tenant, a, blind)
 	}
@@ -330,8 +343,8 @@
 
 // DuePush is the push of strict mode that is due to one VM.
 type DuePush struct {
-	To      VM
-	Entries []Entry
+	To      wqquotaroster.VM
+	Entries []wqquota.Entry
 }
 
 // DuePushes returns the pushes of accounts in strict mode to the VMs that have not
@@ -342,17 +355,17 @@
 		return nil
 	}
 	roster := l.rosters[len(l.rosters)-1]
-	entries := make(map[string][]Entry)
+	entries := make(map[string][]wqquota.Entry)
 	for name, a := range l.accounts {
 		if l.standsIn(now, name, a) {
 			a.pushing, a.pushingFrom, a.nextPush = true, now, now
 		}
-		if !a.strict || !a.pushing || now.Before(a.nextPush) || !roster.owns(l.Self, name) {
+		if !a.strict || !a.pushing || now.Before(a.nextPush) || !roster.Owns(l.Self, name) {
 			continue
 		}
 		a.nextPush = now.Add(pushInterval << min(a.pushes, maxPushBackoff))
 		a.pushes++
-		e := Entry{Tenant: name, Rate: a.limit.Rate, Burst: a.limit.Burst, WantHistory: l.blind(now, name)}
+		e := wqquota.Entry{Tenant: name, Rate: a.limit.Rate, Burst: a.limit.Burst, WantHistory: l.blind(now, name)}
 		for _, v := range roster.VMs {
 			if _, ok := a.acked[vmKey{v.ID, v.Epoch}]; !ok && len(entries[v.ID]) < maxPushEntries {
 				entries[v.ID] = append(entries[v.ID], e)
@@ -375,7 +388,7 @@
 		return false
 	}
 	owners := l.rosters[len(l.rosters)-1].Owners(tenant)
-	rank := slices.IndexFunc(owners, func(v VM) bool { return v.ID == l.Self })
+	rank := slices.IndexFunc(owners, func(v wqquotaroster.VM) bool { return v.ID == l.Self })
 	return rank >= 0 && now.Sub(a.strictSince) >= time.Duration(rank)*standInDelay
 }
 
@@ -388,7 +401,7 @@
 
 // Acknowledge records that a VM knows of strict mode, and merges its own requests from
 // before this owner got all reports.
-func (l *Ledger) Acknowledge(now time.Time, v VM, sent Entry, answer Answer) {
+func (l *Ledger) Acknowledge(now time.Time, v wqquotaroster.VM, sent wqquota.Entry, answer wqquota.Answer) {
 	a := l.accounts[sent.Tenant]
 	if a == nil || !a.strict {
 		return
@@ -397,8 +410,8 @@
 	if sent.WantHistory && answer.Full && !a.acked[key] {
 		for _, age := range answer.History {
 			// The event may be older by one slot of the VM's own count.
-			if at := now.Add(-max(age, 0)); at.Before(a.since.Add(l.Bound.Window / gateSlots)) {
-				a.window.add(now, at)
+			if at := now.Add(-max(age, 0)); at.Before(a.since.Add(l.Bound.Window / wqquota.VMSlots)) {
+				a.window.Add(now, at)
 			}
 		}
 	}
@@ -421,5 +434,5 @@
 		return Standing{}
 	}
 	blind := l.blind(now, tenant)
-	return Standing{Count: a.window.count(now), Granted: l.granted(now, a, blind), Strict: a.strict, Blind: blind, Known: len(a.acked)}
+	return Standing{Count: a.window.Count(now), Granted: l.granted(now, a, blind), Strict: a.strict, Blind: blind, Known: len(a.acked)}
 }
--- a/core/wqquota/roster.go
+++ b/core/wqquotaroster/roster.go
@@ -1,4 +1,11 @@
-package wqquota
+// Package wqquotaroster chooses the owners of a client account, which count its requests,
+// from the live VMs of a fleet. All VMs with the same list choose the same owners.
+//
+// # Usage
+//
+//	r := wqquotaroster.New(vms, fleetSize)
+//	for _, owner := range r.Owners(tenant) { ... }
+package wqquotaroster
 
 import (
 	"cmp"
@@ -37,9 +44,9 @@
 	seeds  []uint64          // seeds are the hashes of their ids.
 }
 
-// NewRoster returns the roster of these VMs. VMs with under half of the largest capacity
+// New returns the roster of these VMs. VMs with under half of the largest capacity
 // are owners only if there are too few others.
-func NewRoster(vms []VM, fleetSize int) *Roster {
+func New(vms []VM, fleetSize int) *Roster {
 	ranked := slices.Clone(vms)
 	largest := 0
 	for _, v := range vms {
@@ -68,6 +75,9 @@
 	return ok
 }
 
+// Epoch returns the start time of a VM's process, 0 if the VM is not in the list.
+func (r *Roster) Epoch(id string) uint64 { return r.epochs[id] }
+
 // Owners returns the owners of an account, the one to ask first at the front. They are in
 // different availability zones as far as there are enough of them.
 func (r *Roster) Owners(tenant string) []VM {
@@ -128,7 +138,7 @@
 	return d.Sum64()
 }
 
-// owns reports whether a VM is an owner of an account.
-func (r *Roster) owns(id, tenant string) bool {
+// Owns reports whether a VM is an owner of an account.
+func (r *Roster) Owns(id, tenant string) bool {
 	return slices.ContainsFunc(r.Owners(tenant), func(v VM) bool { return v.ID == id })
 }
--- a/core/wqquota/window.go
+++ b/core/wqquotawindow/window.go
@@ -1,4 +1,14 @@
-package wqquota
+// Package wqquotawindow counts events in a sliding window: the requests of a client
+// account at one of its owners, or at a VM.
+//
+// # Usage
+//
+//	w := wqquotawindow.New(now, 5*time.Second, 250)
+//	w.Add(now, now.Add(-age))
+//	if w.Count(now) >= most { wait := w.UntilLeft(now, 1) ... }
+//
+// A Window is not safe for concurrent use.
+package wqquotawindow
 
 import "time"
 
@@ -6,9 +16,9 @@
 // owner for a window of 5 s.
 const maxSkewSlots = 10
 
-// window counts events in a sliding window, with a resolution of one slot. An event
+// Window counts events in a sliding window, with a resolution of one slot. An event
 // counts for the window's length and at most one slot more.
-type window struct {
+type Window struct {
 	base   time.Time
 	step   time.Duration
 	counts []uint32 // counts is a ring of slots; one more than fit in the window.
@@ -16,17 +26,18 @@
 	total  int
 }
 
-func newWindow(now time.Time, length time.Duration, slots int) window {
-	return window{base: now.Add(-length), step: max(length/time.Duration(slots), 1), counts: make([]uint32, slots+1)}
+// New returns an empty window of a length that ends now.
+func New(now time.Time, length time.Duration, slots int) Window {
+	return Window{base: now.Add(-length), step: max(length/time.Duration(slots), 1), counts: make([]uint32, slots+1)}
 }
 
 // slot returns the number of the slot of t, which is -1 for a time before the window.
-func (w *window) slot(t time.Time) int64 { return max(-1, int64(t.Sub(w.base)/w.step)) }
+func (w *Window) slot(t time.Time) int64 { return max(-1, int64(t.Sub(w.base)/w.step)) }
 
-func (w *window) at(slot int64) *uint32 { return &w.counts[slot%int64(len(w.counts))] }
+func (w *Window) at(slot int64) *uint32 { return &w.counts[slot%int64(len(w.counts))] }
 
 // advance empties the slots that have left the window.
-func (w *window) advance(now time.Time) {
+func (w *Window) advance(now time.Time) {
 	n := w.slot(now)
 	if n-w.newest >= int64(len(w.counts)) {
 		clear(w.counts)
@@ -40,9 +51,9 @@
 	}
 }
 
-// add counts an event at a time; one later than now counts as at now, and one before the
+// Add counts an event at a time; one later than now counts as at now, and one before the
 // window not at all.
-func (w *window) add(now, at time.Time) {
+func (w *Window) Add(now, at time.Time) {
 	w.advance(now)
 	if s := min(w.slot(at), w.newest); s >= 0 && s > w.newest-int64(len(w.counts)) {
 		*w.at(s)++
@@ -50,9 +61,9 @@
 	}
 }
 
-// remove takes back an event that was counted at about a time: the latest one up to then,
+// Remove takes back an event that was counted at about a time: the latest one up to then,
 // since a grant is counted before its reply arrives, or else the next one.
-func (w *window) remove(now, at time.Time) {
+func (w *Window) Remove(now, at time.Time) {
 	w.advance(now)
 	oldest := max(w.newest-int64(len(w.counts))+1, 0)
 	target := min(w.slot(at), w.newest)
@@ -69,7 +80,7 @@
 }
 
 // take removes one event of a slot and returns false if it has none.
-func (w *window) take(slot int64) bool {
+func (w *Window) take(slot int64) bool {
 	c := w.at(slot)
 	if *c == 0 {
 		return false
@@ -79,14 +90,14 @@
 	return true
 }
 
-// count returns the number of events in the window.
-func (w *window) count(now time.Time) int {
+// Count returns the number of events in the window.
+func (w *Window) Count(now time.Time) int {
 	w.advance(now)
 	return w.total
 }
 
-// untilLeft returns the time until n more events have left the window.
-func (w *window) untilLeft(now time.Time, n int) time.Duration {
+// UntilLeft returns the time until n more events have left the window.
+func (w *Window) UntilLeft(now time.Time, n int) time.Duration {
 	w.advance(now)
 	length := int64(len(w.counts))
 	for s := max(w.newest-length+1, 0); s <= w.newest; s++ {
@@ -97,9 +108,9 @@
 	return time.Duration(length) * w.step
 }
 
-// ages returns the ages of the latest events, at most limit. An age is that of the end of
+// Ages returns the ages of the latest events, at most limit. An age is that of the end of
 // its slot, so that a count made from it does not lose the event too early.
-func (w *window) ages(now time.Time, limit int) []time.Duration {
+func (w *Window) Ages(now time.Time, limit int) []time.Duration {
 	w.advance(now)
 	var ages []time.Duration
 	for s := w.newest; s >= max(w.newest-int64(len(w.counts))+1, 0); s-- {
--- a/io/wqlimiter/charge.go
+++ b/io/wqlimiter/charge.go
@@ -7,6 +7,8 @@
 
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotagate"
+	"wisteriaquay/core/wqquotaroster"
 	"wisteriaquay/core/wqtenant"
 )
 
@@ -36,30 +38,30 @@
 	l.start()
 	choice, wait, roster := l.choose(c, limit)
 	switch choice {
-	case wqquota.AdmitNow:
+	case wqquotagate.AdmitNow:
 		return wqcall.Reply{}, true
-	case wqquota.RefuseNow:
+	case wqquotagate.RefuseNow:
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
 		return l.refuse(c, modeRecent, wait), false
-	case wqquota.AskOwner:
+	case wqquotagate.AskOwner:
 		if reply, decided, granted := l.ask(ctx, c, limit, roster); decided {
 			return reply, granted
 		}
-	case wqquota.UseShare:
+	case wqquotagate.UseShare:
 		return l.useShare(c, limit, roster, false)
 	}
 	return l.useShare(c, limit, roster, true)
 }
 
 // choose chooses how a call is decided on, and counts it if it is admitted at once.
-func (l *Limiter[P, T]) choose(c *wqcall.Call, limit wqquota.Limit) (wqquota.Choice, time.Duration, *wqquota.Roster) {
+func (l *Limiter[P, T]) choose(c *wqcall.Call, limit wqquota.Limit) (wqquotagate.Choice, time.Duration, *wqquotaroster.Roster) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
 	roster := l.currentRoster(now)
 	choice, wait := l.gate.Choose(now, c.Tenant)
-	if choice == wqquota.AdmitNow {
+	if choice == wqquotagate.AdmitNow {
 		l.admit(now, c, limit, roster, "")
 	}
 	return choice, wait, roster
@@ -67,13 +69,13 @@
 
 // admit counts an admitted call and reports it to the owners, except to the one that has
 // granted it. The lock must be held.
-func (l *Limiter[P, T]) admit(now time.Time, c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster, grantedBy string) {
+func (l *Limiter[P, T]) admit(now time.Time, c *wqcall.Call, limit wqquota.Limit, roster *wqquotaroster.Roster, grantedBy string) {
 	c.ChargedAt = now
 	l.gate.Count(now, c.Tenant)
 	l.report(now, c.Tenant, limit, roster, grantedBy)
 }
 
-func (l *Limiter[P, T]) report(now time.Time, tenant string, limit wqquota.Limit, roster *wqquota.Roster, grantedBy string) {
+func (l *Limiter[P, T]) report(now time.Time, tenant string, limit wqquota.Limit, roster *wqquotaroster.Roster, grantedBy string) {
 	for _, v := range roster.Owners(tenant) {
 		switch v.ID {
 		case grantedBy:
@@ -91,7 +93,7 @@
 
 // ask asks the owners of an account for one request. It returns decided as false if none
 // could be reached.
-func (l *Limiter[P, T]) ask(ctx context.Context, c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster) (reply wqcall.Reply, decided, granted bool) {
+func (l *Limiter[P, T]) ask(ctx context.Context, c *wqcall.Call, limit wqquota.Limit, roster *wqquotaroster.Roster) (reply wqcall.Reply, decided, granted bool) {
 	for attempt := 1; ; attempt++ {
 		answer, by, reached := l.askOwners(ctx, c.Tenant, limit, roster)
 		switch {
@@ -110,7 +112,7 @@
 
 // askOwners asks the owners in turn until one knows all requests of the last window, and
 // returns its answer, else the last one.
-func (l *Limiter[P, T]) askOwners(ctx context.Context, tenant string, limit wqquota.Limit, roster *wqquota.Roster) (last wqquota.Answer, by wqquota.VM, reached bool) {
+func (l *Limiter[P, T]) askOwners(ctx context.Context, tenant string, limit wqquota.Limit, roster *wqquotaroster.Roster) (last wqquota.Answer, by wqquotaroster.VM, reached bool) {
 	for _, v := range l.askOrder(roster, tenant) {
 		answer, ok := l.askOne(ctx, v, tenant, limit)
 		if !ok {
@@ -125,7 +127,7 @@
 }
 
 // recordRefusal records that an owner has refused a call, and returns the reply to it.
-func (l *Limiter[P, T]) recordRefusal(c *wqcall.Call, by wqquota.VM, answer wqquota.Answer) wqcall.Reply {
+func (l *Limiter[P, T]) recordRefusal(c *wqcall.Call, by wqquotaroster.VM, answer wqquota.Answer) wqcall.Reply {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
@@ -138,12 +140,12 @@
 }
 
 // askOrder returns the owners of an account, those that failed lately last.
-func (l *Limiter[P, T]) askOrder(roster *wqquota.Roster, tenant string) []wqquota.VM {
+func (l *Limiter[P, T]) askOrder(roster *wqquotaroster.Roster, tenant string) []wqquotaroster.VM {
 	owners := roster.Owners(tenant)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
-	var order, avoided []wqquota.VM
+	var order, avoided []wqquotaroster.VM
 	for _, v := range owners {
 		if now.Before(l.unreachable[v.ID]) {
 			avoided = append(avoided, v)
@@ -158,7 +160,7 @@
 }
 
 // askOne asks one owner, which may be this VM.
-func (l *Limiter[P, T]) askOne(ctx context.Context, v wqquota.VM, tenant string, limit wqquota.Limit) (wqquota.Answer, bool) {
+func (l *Limiter[P, T]) askOne(ctx context.Context, v wqquotaroster.VM, tenant string, limit wqquota.Limit) (wqquota.Answer, bool) {
 	if v.ID == l.Self.ID {
 		l.mutex.Lock()
 		defer l.mutex.Unlock()
@@ -180,7 +182,7 @@
 	return reply.Answers[0], true
 }
 
-func (l *Limiter[P, T]) recordFailure(v wqquota.VM) {
+func (l *Limiter[P, T]) recordFailure(v wqquotaroster.VM) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
@@ -207,7 +209,7 @@
 }
 
 // recordGrant counts a call that an owner has granted.
-func (l *Limiter[P, T]) recordGrant(c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster, by wqquota.VM, answer wqquota.Answer) {
+func (l *Limiter[P, T]) recordGrant(c *wqcall.Call, limit wqquota.Limit, roster *wqquotaroster.Roster, by wqquotaroster.VM, answer wqquota.Answer) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
@@ -224,7 +226,7 @@
 
 // useShare decides on a call by this VM's share of the quota. An admitted call is reported
 // to the owners if reports is true.
-func (l *Limiter[P, T]) useShare(c *wqcall.Call, limit wqquota.Limit, roster *wqquota.Roster, reports bool) (wqcall.Reply, bool) {
+func (l *Limiter[P, T]) useShare(c *wqcall.Call, limit wqquota.Limit, roster *wqquotaroster.Roster, reports bool) (wqcall.Reply, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
--- a/io/wqlimiter/exchange.go
+++ b/io/wqlimiter/exchange.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotaledger"
+	"wisteriaquay/core/wqquotaroster"
 )
 
 const (
@@ -114,13 +116,13 @@
 	}
 }
 
-func (l *Limiter[P, T]) find(id string) (wqquota.VM, bool) {
+func (l *Limiter[P, T]) find(id string) (wqquotaroster.VM, bool) {
 	for _, v := range l.roster.VMs {
 		if v.ID == id {
 			return v, true
 		}
 	}
-	return wqquota.VM{}, false
+	return wqquotaroster.VM{}, false
 }
 
 // dropBefore drops the events that no window includes any more.
@@ -130,7 +132,7 @@
 	}
 }
 
-func (l *Limiter[P, T]) sendReport(ctx context.Context, v wqquota.VM, taken map[string]*events) {
+func (l *Limiter[P, T]) sendReport(ctx context.Context, v wqquotaroster.VM, taken map[string]*events) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	m := wqquota.Message{From: l.Self.ID, Kind: wqquota.Report}
@@ -157,7 +159,7 @@
 
 // requeue keeps a report that failed. While an owner can't be told of requests, the mode
 // of their accounts is unknown: the next request asks.
-func (l *Limiter[P, T]) requeue(now time.Time, v wqquota.VM, taken map[string]*events) {
+func (l *Limiter[P, T]) requeue(now time.Time, v wqquotaroster.VM, taken map[string]*events) {
 	l.unreachable[v.ID] = now.Add(avoidTime)
 	l.doubtContact(now)
 	for tenant, e := range taken {
@@ -181,12 +183,12 @@
 func (l *Limiter[P, T]) sendPushes(ctx context.Context, now time.Time) {
 	if due := l.ledger.DuePushes(now); len(due) > 0 {
 		// VMs that were heard of lately come first, those that may be cut off last.
-		slices.SortStableFunc(due, func(a, b wqquota.DuePush) int { return l.heard[b.To.ID].Compare(l.heard[a.To.ID]) })
+		slices.SortStableFunc(due, func(a, b wqquotaledger.DuePush) int { return l.heard[b.To.ID].Compare(l.heard[a.To.ID]) })
 		go l.push(ctx, due)
 	}
 }
 
-func (l *Limiter[P, T]) push(ctx context.Context, due []wqquota.DuePush) {
+func (l *Limiter[P, T]) push(ctx context.Context, due []wqquotaledger.DuePush) {
 	var g sync.WaitGroup
 	free := make(chan struct{}, pushConcurrency)
 	for _, p := range due {
@@ -199,7 +201,7 @@
 	g.Wait()
 }
 
-func (l *Limiter[P, T]) pushTo(ctx context.Context, p wqquota.DuePush) {
+func (l *Limiter[P, T]) pushTo(ctx context.Context, p wqquotaledger.DuePush) {
 	m := wqquota.Message{From: l.Self.ID, Kind: wqquota.Push, Entries: p.Entries}
 	reply, err := wqquota.Reply{}, error(nil)
 	if p.To.ID == l.Self.ID {
--- a/io/wqlimiter/limiter.go
+++ b/io/wqlimiter/limiter.go
@@ -1,13 +1,13 @@
 // Package wqlimiter keeps the quotas of client accounts on one VM. It decides on the
 // requests of callers, counts the accounts that this VM owns, and exchanges messages with
-// the other VMs. The decisions are those of core/wqquota.
+// the other VMs. The decisions are those of core/wqquotagate and core/wqquotaledger.
 //
 // # Usage
 //
 // Set the exported fields, run the limiter on a goroutine, and charge each request before
 // it is first sent:
 //
-//	l := &wqlimiter.Limiter[wqquota.FreeAndStrict, *wqpeer.Client]{Self: id, Plan: plan, Bound: bound, Transport: client, ...}
+//	l := &wqlimiter.Limiter[wqquotagate.FreeAndStrict, *wqpeer.Client]{Self: id, Plan: plan, Bound: bound, Transport: client, ...}
 //	go l.Run(ctx)
 //	if reply, ok := l.Charge(ctx, call, tenant); !ok { ... refuse with reply ... }
 //	l.Return(call) // if the call has not run
@@ -25,6 +25,9 @@
 	"wisteriaquay/core/wqcall"
 	"wisteriaquay/core/wqplan"
 	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotagate"
+	"wisteriaquay/core/wqquotaledger"
+	"wisteriaquay/core/wqquotaroster"
 	"wisteriaquay/core/wqtenant"
 )
 
@@ -37,14 +40,14 @@
 // Transport sends messages to other VMs.
 type Transport interface {
 	// SendQuota sends a message to a VM and returns its reply.
-	SendQuota(ctx context.Context, to wqquota.VM, m wqquota.Message) (wqquota.Reply, error)
+	SendQuota(ctx context.Context, to wqquotaroster.VM, m wqquota.Message) (wqquota.Reply, error)
 }
 
 // Limiter keeps the quotas on one VM. Set the exported fields before the first call. Its
 // methods are safe for concurrent use.
-type Limiter[P wqquota.Policy, T Transport] struct {
+type Limiter[P wqquotagate.Policy, T Transport] struct {
 	Policy     P
-	Self       wqquota.VM
+	Self       wqquotaroster.VM
 	Plan       func() *wqplan.Plan
 	Bound      wqbound.Quota
 	Transport  T
@@ -57,9 +60,9 @@
 
 	once        sync.Once
 	mutex       sync.Mutex // mutex guards the fields below.
-	gate        *wqquota.Gate[P]
-	ledger      *wqquota.Ledger
-	roster      *wqquota.Roster
+	gate        *wqquotagate.Gate[P]
+	ledger      *wqquotaledger.Ledger
+	roster      *wqquotaroster.Roster
 	live        []wqplan.VM // live and fleetSize are those that roster was made from.
 	fleetSize   int
 	outbox      map[string]map[string]*events // outbox holds the requests that owners don't know yet, by VM and account.
@@ -96,8 +99,8 @@
 // start creates the state at the first call.
 func (l *Limiter[P, T]) start() {
 	l.once.Do(func() {
-		l.gate = &wqquota.Gate[P]{Policy: l.Policy, Bound: l.Bound, StartedAt: l.StartedAt, FirstStart: l.FirstStart, Random: l.Random}
-		l.ledger = &wqquota.Ledger{Self: l.Self.ID, Bound: l.Bound, StartedAt: l.StartedAt, FirstStart: l.FirstStart}
+		l.gate = &wqquotagate.Gate[P]{Policy: l.Policy, Bound: l.Bound, StartedAt: l.StartedAt, FirstStart: l.FirstStart, Random: l.Random}
+		l.ledger = &wqquotaledger.Ledger{Self: l.Self.ID, Bound: l.Bound, StartedAt: l.StartedAt, FirstStart: l.FirstStart}
 		l.outbox, l.sending = make(map[string]map[string]*events), make(map[string]bool)
 		l.unreachable, l.heard, l.wake = make(map[string]time.Time), make(map[string]time.Time), make(chan struct{}, 1)
 	})
@@ -112,20 +115,20 @@
 }
 
 // currentRoster returns the live VMs of the plan in force. The lock must be held.
-func (l *Limiter[P, T]) currentRoster(now time.Time) *wqquota.Roster {
+func (l *Limiter[P, T]) currentRoster(now time.Time) *wqquotaroster.Roster {
 	plan := l.Plan()
 	if l.roster != nil && l.fleetSize == plan.FleetSize && sameList(l.live, plan.LiveVMs) {
 		return l.roster
 	}
-	vms, hasSelf := make([]wqquota.VM, 0, len(plan.LiveVMs)+1), false
+	vms, hasSelf := make([]wqquotaroster.VM, 0, len(plan.LiveVMs)+1), false
 	for _, v := range plan.LiveVMs {
 		hasSelf = hasSelf || v.ID == l.Self.ID
-		vms = append(vms, wqquota.VM(v))
+		vms = append(vms, wqquotaroster.VM(v))
 	}
 	if !hasSelf && !plan.Stopping {
 		vms = append(vms, l.Self)
 	}
-	l.roster, l.live, l.fleetSize = wqquota.NewRoster(vms, plan.FleetSize), plan.LiveVMs, plan.FleetSize
+	l.roster, l.live, l.fleetSize = wqquotaroster.New(vms, plan.FleetSize), plan.LiveVMs, plan.FleetSize
 	l.ledger.SetRoster(now, l.roster)
 	isGone := func(id string, _ time.Time) bool { return !l.roster.Has(id) }
 	maps.DeleteFunc(l.unreachable, isGone)
--- a/io/wqpeer/quota.go
+++ b/io/wqpeer/quota.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"wisteriaquay/core/wqquota"
+	"wisteriaquay/core/wqquotaroster"
 )
 
 const (
@@ -58,7 +59,7 @@
 var quotaKinds = [...]string{wqquota.Report: "report", wqquota.Ask: "ask", wqquota.Push: "push"}
 
 // SendQuota sends a message on quotas to a VM and returns its reply.
-func (c *Client) SendQuota(ctx context.Context, to wqquota.VM, m wqquota.Message) (wqquota.Reply, error) {
+func (c *Client) SendQuota(ctx context.Context, to wqquotaroster.VM, m wqquota.Message) (wqquota.Reply, error) {
 	data, err := json.Marshal(encodeQuotaMessage(m))
 	if err != nil {
 		return wqquota.Reply{}, eris.Wrap(err, "encode a message on quotas")
