Check client accounts with the code by which VMs judge them

The check of a configuration decoded client accounts by structs of its own and judged them by its own rules, so it missed what VMs refuse: empty keys, keys over 4096 bytes, names that are not valid in a header field, negative priorities, too many accounts or keys.

Tests search the reports in text and JSON for keys and digests.

--- a/cmd/wisteriaquay/check_configuration_test.go
+++ b/cmd/wisteriaquay/check_configuration_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -29,6 +31,8 @@
 	older := write("older", strings.Replace(checkedConfiguration, `"version": 2`, `"version": 1`, 1))
 	lost := write("lost", strings.NewReplacer(`"version": 2`, `"version": 1`, `"sekret-1"`, `"sekret-1", "sekret-0"`).Replace(checkedConfiguration))
 	bad := write("bad", strings.Replace(checkedConfiguration, `"sekret-1"`, `"sekret-2"`, 1))
+	accounts := write("accounts", strings.Replace(checkedConfiguration, `"tenants": [`, `"tenants": [{"name": "verhaegen", "ratePerS": -1, "apiKeys": ["sekret-2", "sekret-2", ""], "sekret-3": 1}, `, 1))
+	kind := write("kind", strings.Replace(checkedConfiguration, `["sekret-1", "sekret-2"]`, `"sekret-1"`, 1))
 	settings := write("settings", "nodeName = \"a\"\nzone = \"a\"\n[listenAddrs]\nfront = \"h:1\"\nready = \"h:2\"\n[platform]\naddress = \"h:3\"\n[bounds]\nretryBudgetRatio = 0.2\n")
 	for name, c := range map[string]struct {
 		args []string
@@ -42,6 +46,8 @@
 		"warnings of the budget":  {[]string{"--settings", settings, good}, 1, "over the retry budget"},
 		"errors":                  {[]string{bad}, 2, `tenants[0].apiKeys ("verhaegen")`},
 		"errors in JSON":          {[]string{"--format", "json", bad}, 2, `"path": "tenants[0].apiKeys"`},
+		"errors of accounts":      {[]string{"--against", good, accounts}, 2, `tenants[1].name ("verhaegen")`},
+		"errors of types":         {[]string{"--against", kind, kind}, 2, "tenants.apiKeys"},
 		"missing file":            {[]string{filepath.Join(directory, "none")}, 3, "name a readable file"},
 		"no JSON":                 {[]string{write("text", "version 2")}, 3, "line 1, column 1"},
 		"in force can't be read":  {[]string{"--against", directory, good}, 3, "name a readable file"},
@@ -54,6 +60,8 @@
 			must.Eq(t, c.want, run(t.Context(), console{Out: &out, Err: &out}, append([]string{"check-configuration"}, c.args...)))
 			must.StrContains(t, out.String(), c.text)
 			must.StrNotContains(t, out.String(), "sekret")
+			digest := sha256.Sum256([]byte("sekret-2"))
+			must.StrNotContains(t, strings.ToLower(out.String()), hex.EncodeToString(digest[:4]))
 		})
 	}
 	var out strings.Builder
--- a/core/wqtenant/registry.go
+++ b/core/wqtenant/registry.go
@@ -17,6 +17,7 @@
 	"crypto/sha256"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"unicode/utf8"
 )
@@ -75,62 +76,101 @@
 	problem  string
 }
 
+// Problem is a reason for which client accounts can't be served. It shows no key.
+type Problem struct {
+	Index int    // Index is the place of the account in the list from 0; -1 for the whole list.
+	Field string // Field is "name", "keys", "rate", "burst" or "priority".
+	Text  string
+}
+
 // New returns the registry of these accounts, nil if there is none. It keeps the slice,
 // which must not change afterwards.
 func New(tenants []Tenant) *Registry {
 	if len(tenants) == 0 {
 		return nil
 	}
-	r := &Registry{tenants: tenants, byDigest: make(map[Digest]*Tenant), byName: make(map[string]*Tenant)}
-	if len(tenants) > MaxTenants {
-		r.problem = fmt.Sprintf("%d tenants are over the limit of %d", len(tenants), MaxTenants)
-		return r
-	}
-	for i := range tenants {
-		if problem := r.add(&tenants[i]); problem != "" {
-			r.problem = fmt.Sprintf("tenant number %d: %s", i+1, problem)
-			return r
+	r := newRegistry(tenants)
+	for p := range r.index {
+		r.problem = p.Text
+		if p.Index >= 0 {
+			r.problem = fmt.Sprintf("tenant number %d: %s", p.Index+1, p.Text)
 		}
+		break
 	}
 	return r
 }
 
-// add indexes an account and returns why it can't be served, empty if it can.
-func (r *Registry) add(t *Tenant) string {
-	if problem := t.problem(); problem != "" {
-		return problem
+// Problems returns all reasons for which New(tenants) can't be served. Its Problem is the
+// first of them.
+func Problems(tenants []Tenant) []Problem { return slices.Collect(newRegistry(tenants).index) }
+
+func newRegistry(tenants []Tenant) *Registry {
+	return &Registry{tenants: tenants, byDigest: make(map[Digest]*Tenant), byName: make(map[string]*Tenant)}
+}
+
+// index indexes the accounts and yields the reasons for which they can't be served. It
+// stops when yield returns false.
+func (r *Registry) index(yield func(Problem) bool) {
+	if len(r.tenants) > MaxTenants {
+		yield(Problem{Index: -1, Text: fmt.Sprintf("%d tenants are over the limit of %d", len(r.tenants), MaxTenants)})
+		return
 	}
+	for i := range r.tenants {
+		found := func(field, text string) bool { return yield(Problem{i, field, text}) }
+		if t := &r.tenants[i]; !t.check(found) || !r.indexName(t, found) || !r.indexKeys(t, found) {
+			return
+		}
+		if len(r.byDigest) > MaxKeys {
+			found("keys", fmt.Sprintf("the keys are over the limit of %d", MaxKeys))
+			return
+		}
+	}
+}
+
+// indexName indexes the name of an account. It returns false if no more problems are
+// asked for, as do check and indexKeys.
+func (r *Registry) indexName(t *Tenant, found func(field, text string) bool) bool {
 	if r.byName[t.Name] != nil {
-		return fmt.Sprintf("the name %q is used twice", t.Name)
+		return found("name", fmt.Sprintf("the name %q is used twice", t.Name))
+	}
+	if validName(t.Name) {
+		r.byName[t.Name] = t
 	}
-	r.byName[t.Name] = t
+	return true
+}
+
+func (r *Registry) indexKeys(t *Tenant, found func(field, text string) bool) bool {
 	for i, d := range t.KeyDigests {
+		problem := ""
 		if d == DigestOf("") {
-			return fmt.Sprintf("its key number %d is empty or too long", i+1)
+			problem = fmt.Sprintf("its key number %d is empty or too long", i+1)
+		} else if other := r.byDigest[d]; other != nil {
+			problem = fmt.Sprintf("its key number %d is also a key of %q", i+1, other.Name)
 		}
-		if other := r.byDigest[d]; other != nil {
-			return fmt.Sprintf("its key number %d is also a key of %q", i+1, other.Name)
+		if problem != "" && !found("keys", problem) {
+			return false
+		}
+		if problem == "" {
+			r.byDigest[d] = t
 		}
-		r.byDigest[d] = t
-	}
-	if len(r.byDigest) > MaxKeys {
-		return fmt.Sprintf("the keys are over the limit of %d", MaxKeys)
 	}
-	return ""
+	return true
 }
 
-func (t *Tenant) problem() string {
-	switch {
-	case !validName(t.Name):
-		return "the name is empty, too long, or not valid in a header field"
-	case !inRange(t.Rate, maxRate):
-		return fmt.Sprintf("the rate %v is out of range", t.Rate)
-	case !inRange(t.Burst, maxBurst):
-		return fmt.Sprintf("the burst %v is out of range", t.Burst)
-	case t.Priority < 0 || t.Priority > math.MaxInt32:
-		return fmt.Sprintf("the priority %d is out of range", t.Priority)
-	}
-	return ""
+func (t *Tenant) check(found func(field, text string) bool) bool {
+	if !validName(t.Name) && !found("name", "the name is empty, too long, or not valid in a header field") {
+		return false
+	}
+	if !inRange(t.Rate, maxRate) && !found("rate", fmt.Sprintf("the rate %v is out of range", t.Rate)) {
+		return false
+	}
+	if !inRange(t.Burst, maxBurst) && !found("burst", fmt.Sprintf("the burst %v is out of range", t.Burst)) {
+		return false
+	}
+	if t.Priority < 0 || t.Priority > math.MaxInt32 {
+		return found("priority", fmt.Sprintf("the priority %d is out of range", t.Priority))
+	}
+	return true
 }
 
 // validName reports whether a name can be sent in a header field and returned unchanged.
--- a/core/wqtenant/registry_test.go
+++ b/core/wqtenant/registry_test.go
@@ -76,10 +76,13 @@
 	} {
 		problem := wqtenant.New(tenants).Problem()
 		must.NotEq(t, "", problem, must.Sprint(name))
+		must.StrHasSuffix(t, wqtenant.Problems(tenants)[0].Text, problem, must.Sprint(name))
 		must.StrNotContains(t, problem, key)
 		must.StrNotContains(t, problem, fmt.Sprintf("%x", d[:4]))
 	}
 	must.Eq(t, "", registry().Problem())
+	must.SliceEmpty(t, wqtenant.Problems(registry().Tenants()))
+	must.Len(t, 5, wqtenant.Problems([]wqtenant.Tenant{{Rate: -1, Burst: -1}, {Name: "a", KeyDigests: []wqtenant.Digest{d, d}}, {Name: "a"}}), must.Sprint("all problems of all accounts"))
 	must.Nil(t, wqtenant.New(nil))
 	must.Eq(t, "", (*wqtenant.Registry)(nil).Problem())
 }
