--- a/core/wqbound/bound.go
+++ b/core/wqbound/bound.go
@@ -10,7 +10,7 @@
 
 import "time"
 
-// Rollout limits the requests that a new version of searchers gets during its roll-out.
+// Rollout limits the requests that a new version of searchers gets during its rollout.
 type Rollout struct {
 	Share        float64       // Share is the largest part of a service's requests that a bad version may get, 0 to 1.
 	Slack        float64       // Slack is the number of requests beside Share.
