Run the tests of many processes apart from those that use all processors

Change: make test runs test/e2e, test/tier and test/soak after the other packages, and test/crowd last. No test or bound changes.

--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,9 @@
 # Time for each target of make fuzz.
 FUZZ_TIME ?= 20s
 
+# Tests of many processes in real time, which run apart from those that use all processors.
+PROCESS_TESTS := ./test/e2e ./test/tier ./test/soak
+
 .PHONY: build test fuzz lint format demo
 
 build:
@@ -20,7 +23,8 @@
 # The race detector is on; seeds are fixed; no test asserts a wall-clock time
 # that the machine alone decides.
 test:
-	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list $(MODULES) | grep -vxF wisteriaquay$(OVERLOAD_TESTS:.%=%))
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $$($(GO) list $(MODULES) | grep -vxF $(patsubst .%,-e wisteriaquay%,$(OVERLOAD_TESTS) $(PROCESS_TESTS)))
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $(PROCESS_TESTS)
 	$(GO) test -race -count=1 -timeout 10m $(SKIP) $(OVERLOAD_TESTS)
 
 # Each fuzz target, given as package:name, runs for FUZZ_TIME. Inputs that fail are
