--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -55,7 +55,6 @@
 	rec                 *record
 	quotas              bool             // the settings bound the quotas of client accounts
 	tenants             []map[string]any // client accounts of the configuration
-	clockAhead          time.Duration    // of the time of day of the machines of new searchers
 }
 
 func newFleet(root, dir string, rec *record, vms int) (*fleet, error) {
@@ -270,7 +269,7 @@
 	}
 	s := &searcher{
 		id: fmt.Sprintf("i-%s-%d", service, n), service: service, zone: fmt.Sprintf("zone-%d", 1+n%3), addr: fmt.Sprintf("%s:%d", ip, port),
-		slots: slots, work: work, log: f.rec, ahead: f.clockAhead,
+		slots: slots, work: work, log: f.rec,
 	}
 	if err := s.start(0); err != nil {
 		return nil, err
