Review case 9: a searcher that restarts in an outage of the store is overrun while cold

Cause: only the store's entry tells a VM that a searcher is cold; a lost connection is no sign of a restart on the platform's path. Change: a script in which a searcher crashes and starts again under its id while the store is down.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,10 +31,10 @@
 }
 
 var cases = map[string]func(*setup) (int, error){
-	"answer-lost": answerLost,
-	"log-stalled": logStalled,
-	"two-slashes": twoSlashes,
-	"seeds-down":  seedsDown,
+	"answer-lost":    answerLost,
+	"log-stalled":    logStalled,
+	"seeds-down":     seedsDown,
+	"cold-in-outage": coldInOutage,
 }
 
 func main() {
