--- a/core/wqstatement/tracker.go
+++ b/core/wqstatement/tracker.go
@@ -50,6 +50,7 @@
 type Statement struct {
 	Leaving bool          // Leaving means that the searcher will stop.
 	Wait    time.Duration // Wait is how long the searcher wants no requests from this VM; 0 for no such report.
+	Limit   Limit
 }
 
 // Change is the effect of a statement on the searcher's state.
@@ -60,10 +61,14 @@
 	NoChange       Change = iota // NoChange means that the state is the same, or only lasts longer.
 	BeganLeaving                 // BeganLeaving means that the searcher is leaving from now on.
 	BeganRejecting               // BeganRejecting means that the searcher rejects requests from now on.
+	LimitNamed                   // LimitNamed means that the searcher limits its requests, or names another limit.
+	LimitEnded                   // LimitEnded means that the searcher does not limit its requests any more.
 )
 
 // String returns the name of the change in logs and metrics.
-func (c Change) String() string { return [...]string{"none", "leaving", "rejecting"}[c] }
+func (c Change) String() string {
+	return [...]string{"none", "leaving", "rejecting", "limited", "unlimited"}[c]
+}
 
 // Tracker holds the state that searchers have reported. Create it with New.
 type Tracker struct {
@@ -77,6 +82,9 @@
 	start         start
 	leavingSince  time.Time // zero for a searcher that has not reported to leave
 	rejectingTill time.Time
+	limitRate     float64   // requests per second of all VMs
+	limitedSince  time.Time // first report of the limit
+	limitedAt     time.Time // latest report of the limit; zero without one
 	observedAt    time.Time // latest report
 }
 
@@ -146,7 +154,7 @@
 func (tr *Tracker) evict(now time.Time) {
 	ids := make([]string, 0, len(tr.entries))
 	for id, e := range tr.entries {
-		if !e.isLeaving(now) && !now.Before(e.rejectingTill) {
+		if !e.isLeaving(now) && !now.Before(e.rejectingTill) && !e.isLimited(now) {
 			delete(tr.entries, id)
 			continue
 		}
--- a/io/wqmetric/metrics.go
+++ b/io/wqmetric/metrics.go
@@ -62,6 +62,7 @@
 	fanOuts          *prometheus.CounterVec
 	peerBytes        *prometheus.CounterVec
 	statements       *prometheus.CounterVec
+	limitedSends     *prometheus.CounterVec
 	rolloutSends     *prometheus.CounterVec
 }
 
@@ -84,7 +85,8 @@
 	m.fanOuts = counter("fan_outs_total", "Fan-outs, by the availability zone of the VM that got the request and of the VM that ran it.", []string{"entry_zone", "hub_zone"})
 	m.peerBytes = counter("peer_bytes_total", "Bytes of messages that this VM began, to and from other VMs, by kind and by the availability zone of the other VM.", []string{"kind", "zone"})
 	m.statements = counter("searcher_statements_total", "Changes of the state that searchers report about themselves, by service and new state.", []string{"service", "state"})
-	m.registry.MustRegister(m.statements)
+	m.limitedSends = counter("limited_sends_total", "Sends to searchers that limit their requests, by service, and by whether they were retries or hedges.", []string{"service", "extra"})
+	m.registry.MustRegister(m.statements, m.limitedSends)
 	m.rolloutSends = newRolloutSends()
 	m.registry.MustRegister(m.rolloutSends)
 	m.registry.MustRegister(m.callLatency, m.callCoverage, m.sends, m.failedSends, m.fanOuts, m.peerBytes)
--- a/io/wqrelay/driver.go
+++ b/io/wqrelay/driver.go
@@ -125,6 +125,9 @@
 	d.relay.countRolloutSend(s.Target, d.gather.Route.Name)
 	if d.relay.Metrics != nil {
 		d.relay.Metrics.CountSend(s.Target.Searcher.Service)
+		if d.relay.Statements.IsLimited(time.Now(), s.Target) {
+			d.relay.Metrics.CountLimitedSend(s.Target.Searcher.Service, s.Extra)
+		}
 	}
 	if s.Extra {
 		d.sendCounts.Extra++
