--- a/test/wqfakeplatform/searcher.go
+++ b/test/wqfakeplatform/searcher.go
@@ -34,6 +34,7 @@
 	EndlessBody    bool   // EndlessBody answers with a body without end.
 	Leaving        bool   // Leaving reports in every response that the searcher is leaving.
 	RetryAfter     string // RetryAfter is the value of Retry-After in refusals by Shed; empty for none.
+	Limit          string // Limit is the value of Server-Limit in every response; empty for none.
 }
 
 // Execution is one request that a searcher started to execute.
--- a/test/wqfakeplatform/statement.go
+++ b/test/wqfakeplatform/statement.go
@@ -34,6 +34,9 @@
 	if b.Leaving {
 		h.Set("Server-Leaving", "1")
 	}
+	if b.Limit != "" {
+		h.Set("Server-Limit", b.Limit)
+	}
 	if b.Shed && b.RetryAfter != "" {
 		h.Set("Retry-After", b.RetryAfter)
 	}
@@ -41,10 +44,14 @@
 
 // rawHeader is setHeader for responses that are written without a server.
 func (b Behaviour) rawHeader() string {
+	raw := ""
 	if b.Leaving {
-		return "Server-Leaving: 1\r\n"
+		raw += "Server-Leaving: 1\r\n"
+	}
+	if b.Limit != "" {
+		raw += "Server-Limit: " + b.Limit + "\r\n"
 	}
-	return ""
+	return raw
 }
 
 // Replies returns all replies so far by request id.
