Keep to the rate that a searcher names, over all VMs together

A searcher that names Server-Limit got as many requests as before: the field was not read, and the choice of a searcher knew of no rates. A send is counted when it is decided on, after the retry quota has allowed it, so that retries, hedges and requests that the searcher rejects count. A request that waits for a connection when the limit becomes known is placed again. A service without a searcher that may be asked is closed at once, so that a request is refused with the time of the next turn, and a fan-out does not wait for it.

--- a/core/wqgather/available.go
+++ b/core/wqgather/available.go
@@ -19,18 +19,20 @@
 )
 
 // waitTime returns the time until the first of targets may be sent requests, 0 if one
-// may be or none is known to want no requests.
-func (g *Gather[P, H]) waitTime(now time.Time, targets []*wqdirectory.Target) time.Duration {
+// may be or none is known to want no requests, and whether that one waits for its limit.
+func (g *Gather[P, H]) waitTime(now time.Time, targets []*wqdirectory.Target) (wait time.Duration, limited bool) {
 	if g.WaitTime == nil {
-		return 0
+		return 0, false
 	}
 	return g.WaitTime(now, targets)
 }
 
-// unavailable reports whether no target of a service can be sent the request in time.
+// unavailable reports whether no target of a service can be sent the request in time. A
+// request does not wait for the limit of a searcher: others wait too, and the searcher
+// gets no more requests because of it.
 func (g *Gather[P, H]) unavailable(now time.Time, targets []*wqdirectory.Target) bool {
-	wait := g.waitTime(now, targets)
-	return len(targets) == 0 || wait > 0 && (wait > maxUnavailableWait || wait >= g.Deadline.Sub(now))
+	wait, limited := g.waitTime(now, targets)
+	return len(targets) == 0 || wait > 0 && (limited || wait > maxUnavailableWait || wait >= g.Deadline.Sub(now))
 }
 
 // postpone records that no send to a service was possible: there is no target, or a
@@ -43,6 +45,7 @@
 		noBudget := hasTarget && !g.Route.FanOut()
 		s.closed = noBudget || !hasTarget && g.unavailable(now, targets)
 	}
-	delay := max(pollInterval, min(g.waitTime(now, targets), unavailablePoll))
+	wait, _ := g.waitTime(now, targets)
+	delay := max(pollInterval, min(wait, unavailablePoll))
 	s.retryAt = wqtime.Later(s.retryAt, now.Add(delay))
 }
--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -75,8 +75,11 @@
 	HedgePolicy H
 	Random      func() uint64
 	// WaitTime returns the time until the first of some targets may be sent requests, 0
-	// if one may be now; nil if that is always so.
-	WaitTime     func(now time.Time, targets []*wqdirectory.Target) time.Duration
+	// if one may be now, and whether that one waits for its limit; nil if that is always so.
+	WaitTime func(now time.Time, targets []*wqdirectory.Target) (wait time.Duration, limited bool)
+	// Take counts a send against the limit of its target, and returns false if the target
+	// must not be sent a request any more; nil for no limits.
+	Take         func(now time.Time, t *wqdirectory.Target) bool
 	PartialAfter time.Time // PartialAfter is the time to return a partial answer to meet the objective; zero is never.
 	Deadline     time.Time
 	LastSendAt   time.Time       // LastSendAt is the time from which nothing is sent any more, because the VM stops; zero is never.
@@ -199,9 +202,17 @@
 	if len(s.inFlight) > 0 && !g.hedgeDue(now, s) {
 		return sends
 	}
-	t := g.pickTarget(now, pools[g.Services[i]], s)
-	if t == nil || s.maybeDelivered > 0 && !g.HedgePolicy.TrySpend(now, g.Services[i]) {
-		g.postpone(now, s, pools[g.Services[i]], t != nil)
+	targets, paid := pools[g.Services[i]], s.maybeDelivered == 0
+	t := g.pickTarget(now, targets, s)
+	for t != nil {
+		paid = paid || g.HedgePolicy.TrySpend(now, g.Services[i])
+		if !paid || g.Take == nil || g.Take(now, t) {
+			break
+		}
+		t = g.pickTarget(now, targets, s)
+	}
+	if t == nil || !paid {
+		g.postpone(now, s, targets, t != nil)
 		return sends
 	}
 	return append(sends, g.send(now, i, t))
--- a/core/wqstatement/limit.go
+++ b/core/wqstatement/limit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqpace"
 )
 
 // LimitReport is the kind of a Limit.
@@ -23,9 +24,16 @@
 	SentAt time.Time // SentAt is when the request that is answered was written.
 }
 
-// limitTTL ends a limit that no response has confirmed, so that no faulty value limits a
-// searcher for good.
-const limitTTL = time.Minute
+const (
+	// limitTTL ends a limit that no response has confirmed, so that no faulty value limits
+	// a searcher for good. It is longer for a VM that sends less than a request a minute.
+	limitTTL = time.Minute
+	// limitTTLIntervals is limitTTL in intervals between two requests of this VM.
+	limitTTLIntervals = 3
+	// minLimit is the rate, in requests per second, at which searchers are asked that name
+	// a lower one: only their responses show that the limit has ended.
+	minLimit = 0.25
+)
 
 // ObserveLimit records the limit of a response from t and returns its effect. A response
 // that raises or ends the limit has none if its request was written before the limit was
@@ -54,7 +62,7 @@
 	}
 	changed := !limited || l.Rate != e.limitRate
 	if !limited {
-		e.limitedSince = now
+		e.limitedSince, e.pace = now, wqpace.Pace{}
 	}
 	e.limitRate, e.limitedAt, e.observedAt = l.Rate, now, now
 	if !changed {
@@ -65,7 +73,28 @@
 
 // isLimited reports whether the searcher has named a limit that still holds.
 func (e *entry) isLimited(now time.Time) bool {
-	return !e.limitedAt.IsZero() && now.Sub(e.limitedAt) < limitTTL
+	return !e.limitedAt.IsZero() && now.Sub(e.limitedAt) < max(limitTTL, limitTTLIntervals*e.pace.Interval())
+}
+
+// limitWait returns the time until the limit of the searcher allows the next request.
+func (e *entry) limitWait(now time.Time) time.Duration {
+	if !e.isLimited(now) {
+		return 0
+	}
+	return e.pace.Wait(now)
+}
+
+// Take counts a request that is about to be sent to t against the searcher's limit, and
+// returns false if it may not be sent now. Sharers is the number of VMs that send to the
+// searcher, this one included; random is any random number.
+func (tr *Tracker) Take(now time.Time, t *wqdirectory.Target, sharers int, random uint64) bool {
+	if !tr.IsLimited(now, t) {
+		return true
+	}
+	tr.mutex.Lock()
+	defer tr.mutex.Unlock()
+	e := tr.entryOf(t)
+	return e == nil || !e.isLimited(now) || e.pace.Take(now, max(e.limitRate, minLimit)/float64(max(sharers, 1)), random)
 }
 
 // IsLimited reports whether t has named a limit that still holds.
--- a/core/wqstatement/targets.go
+++ b/core/wqstatement/targets.go
@@ -6,16 +6,17 @@
 	"wisteriaquay/core/wqdirectory"
 )
 
-// MaySend reports whether a request may be sent to t. For a searcher that is leaving
-// it may be, as a last resort, during Grace.
-func (tr *Tracker) MaySend(now time.Time, t *wqdirectory.Target) bool {
+// MaySend reports whether a request for which t was chosen at chosenAt may be sent to it.
+// For a searcher that is leaving it may be, as a last resort, during Grace. It may not be
+// if the searcher has named a limit since, against which the request was not counted.
+func (tr *Tracker) MaySend(now time.Time, t *wqdirectory.Target, chosenAt time.Time) bool {
 	if tr.isEmpty() {
 		return true
 	}
 	tr.mutex.RLock()
 	defer tr.mutex.RUnlock()
 	e := tr.entryOf(t)
-	return e == nil || e.wait(now) == 0
+	return e == nil || e.wait(now) == 0 && !(e.isLimited(now) && e.limitedSince.After(chosenAt))
 }
 
 // Split returns the targets that may be sent requests: those that are serving, and
@@ -30,7 +31,7 @@
 	copied := false
 	for i, t := range targets {
 		e := tr.entryOf(t)
-		if e == nil || !e.isLeaving(now) && e.wait(now) == 0 {
+		if e == nil || !e.isLeaving(now) && e.wait(now) == 0 && e.limitWait(now) == 0 {
 			if copied {
 				serving = append(serving, t)
 			}
@@ -39,7 +40,7 @@
 		if !copied {
 			serving, copied = append(make([]*wqdirectory.Target, 0, len(targets)), targets[:i]...), true
 		}
-		if e.wait(now) == 0 {
+		if e.isLeaving(now) && e.wait(now) == 0 && e.limitWait(now) == 0 {
 			leaving = append(leaving, t)
 		}
 	}
@@ -50,22 +51,26 @@
 }
 
 // Wait returns the time until the first of targets may be sent requests: 0 if one may
-// be now or there are none, Never if none may be any more.
-func (tr *Tracker) Wait(now time.Time, targets []*wqdirectory.Target) time.Duration {
+// be now or there are none, Never if none may be any more. Limited is true if that one
+// waits for its limit to allow another request.
+func (tr *Tracker) Wait(now time.Time, targets []*wqdirectory.Target) (wait time.Duration, limited bool) {
 	if tr.isEmpty() || len(targets) == 0 {
-		return 0
+		return 0, false
 	}
 	tr.mutex.RLock()
 	defer tr.mutex.RUnlock()
-	shortest := Never
+	wait = Never
 	for _, t := range targets {
 		e := tr.entryOf(t)
 		if e == nil {
-			return 0
+			return 0, false
+		}
+		reported, paced := e.wait(now), e.limitWait(now)
+		if w := max(reported, paced); w < wait {
+			wait, limited = w, paced > reported
 		}
-		shortest = min(shortest, e.wait(now))
 	}
-	return shortest
+	return wait, limited
 }
 
 // Counts returns how many searchers are leaving and how many reject requests. It
--- a/core/wqstatement/tracker.go
+++ b/core/wqstatement/tracker.go
@@ -1,18 +1,20 @@
 // Package wqstatement holds what searchers report about themselves to this VM: that
-// they are leaving, or that they want no requests for some time.
+// they are leaving, that they want no requests for some time, or that they take a limited
+// rate of requests from all VMs together.
 //
 // A report is valid for one start of a searcher. It ends when the searcher registers
 // another start, not with a response without it nor with a registration that still
 // says ready: copies of both may be older than the report. A searcher that is leaving
 // is a last resort for Grace, so that a service whose only searcher leaves is served
-// until its replacement registers.
+// until its replacement registers. A limit ends with the first success that names none.
 //
 // # Usage
 //
 //	tr := wqstatement.New()
 //	switch tr.Observe(now, target, wqstatement.Statement{Leaving: true}) { ... log a change ... }
 //	serving, leaving := tr.Split(now, targets)
-//	if !tr.MaySend(now, target) { ... place the request again ... }
+//	if !tr.Take(now, target, vms, random) { ... choose another searcher ... }
+//	if !tr.MaySend(now, target, chosenAt) { ... place the request again ... }
 //
 // All methods are safe for concurrent use. A nil Tracker knows of no reports.
 package wqstatement
@@ -25,6 +27,7 @@
 	"time"
 
 	"wisteriaquay/core/wqdirectory"
+	"wisteriaquay/core/wqpace"
 )
 
 const (
@@ -85,6 +88,7 @@
 	limitRate     float64   // requests per second of all VMs
 	limitedSince  time.Time // first report of the limit
 	limitedAt     time.Time // latest report of the limit; zero without one
+	pace          wqpace.Pace
 	observedAt    time.Time // latest report
 }
 
--- a/io/wqrelay/relay.go
+++ b/io/wqrelay/relay.go
@@ -186,6 +186,10 @@
 	if route.FanOut() {
 		sharerCount, isSharer = plan.LimitSharers()
 	}
+	limitSharers := sharerCount
+	if !isSharer { // This VM takes the place of a hub.
+		limitSharers = plan.FleetSize
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	latency := r.latencies.Estimator(route.Name, route.Objective)
@@ -198,8 +202,11 @@
 		results: make(chan sendResult, len(services)), replied: make(chan struct{}),
 		gather: &wqgather.Gather[searcherPicker, hedgePolicy]{
 			Route: route, Services: services, Random: rand.Uint64,
-			Picker:      r.newPicker(sharerCount, route.Name, placed),
-			WaitTime:    r.Statements.Wait,
+			Picker:   r.newPicker(sharerCount, route.Name, placed),
+			WaitTime: r.Statements.Wait,
+			Take: func(now time.Time, t *wqdirectory.Target) bool {
+				return r.Statements.Take(now, t, limitSharers, rand.Uint64())
+			},
 			HedgePolicy: hedgePolicy{Estimator: latency, quota: r.RetryQuota, sharerCount: sharerCount, isSharer: isSharer},
 			Deadline:    c.Arrived.Add(maxDuration(c, route)),
 		},
--- a/io/wqrelay/unavailable.go
+++ b/io/wqrelay/unavailable.go
@@ -21,7 +21,7 @@
 		wait = wqretryafter.NoCapacity
 	}
 	return wqcall.Reply{
-		Status: wqcall.NotRun, Reason: d.describeMissing("all searchers of a service reject requests or are leaving"),
+		Status: wqcall.NotRun, Reason: d.describeMissing("all searchers of a service reject requests, are at their limit or are leaving"),
 		RetryAfter: wqretryafter.Spread(wait, rand.Uint64()),
 	}
 }
@@ -32,7 +32,8 @@
 	pools, longest := d.relay.Plan().Pools, time.Duration(0)
 	for i, service := range d.gather.Services {
 		if !d.gather.Answered(i) {
-			longest = max(longest, d.relay.Statements.Wait(now, pools[service]))
+			wait, _ := d.relay.Statements.Wait(now, pools[service])
+			longest = max(longest, wait)
 		}
 	}
 	return longest
