--- a/io/wqlistwatch/watcher.go
+++ b/io/wqlistwatch/watcher.go
@@ -93,7 +93,10 @@
 	b, err := w.Source.Watch(ctx, afterRevision, timeout)
 	if errors.Is(err, ErrCompacted) {
 		w.Log.Info("source compacted its history; listing all items", "source", w.Name, "as_of", afterRevision, "error", err.Error())
-		return w.Source.List(ctx)
+		b, err = w.Source.List(ctx)
+		if err == nil {
+			w.Log.Info("source listed all items", "source", w.Name, "as_of", afterRevision, "listed_as_of", b.StoreRevision, "items", len(b.Items))
+		}
 	}
 	return b, err
 }
--- a/io/wqstore/store.go
+++ b/io/wqstore/store.go
@@ -178,40 +178,46 @@
 // call sends one request and returns the status and the body of the reply. A
 // status other than 200, 204, 404 or 409 is an error.
 func (c *Client) call(ctx context.Context, method, path string, body any) (int, []byte, error) {
-	status, data, err := c.Do(ctx, method, path, body)
+	response, err := c.Do(ctx, method, path, body)
 	if err != nil {
 		return 0, nil, err
 	}
-	switch status {
+	switch response.Status {
 	case http.StatusOK, http.StatusNoContent, http.StatusNotFound, http.StatusConflict:
-		return status, data, nil
+		return response.Status, response.Body, nil
 	}
-	return 0, nil, callError(method, eris.Errorf("status %d", status))
+	return 0, nil, callError(method, eris.Errorf("status %d", response.Status))
 }
 
-// Do sends one request, with body as JSON unless it is nil, and returns the
-// status and the body of the reply for any status. Timeout does not apply: the
-// caller bounds the time by ctx. It serves stores with other calls than those of
-// this package.
-func (c *Client) Do(ctx context.Context, method, path string, body any) (int, []byte, error) {
+// Response is the reply to a request of Do.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends one request, with body as JSON unless it is nil, and returns the reply
+// whatever its status. Timeout does not apply: the caller bounds the time by ctx. It
+// serves stores with other calls than those of this package.
+func (c *Client) Do(ctx context.Context, method, path string, body any) (Response, error) {
 	request, err := c.request(ctx, method, path, body)
 	if err != nil {
-		return 0, nil, err
+		return Response{}, err
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
-		return 0, nil, callError(method, err)
+		return Response{}, callError(method, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if err != nil {
-		return 0, nil, callError(method, err)
+		return Response{}, callError(method, err)
 	}
 	if len(data) > maxReplyBytes {
 		message := fmt.Sprintf("the store's reply has more than %d bytes", maxReplyBytes)
-		return 0, nil, wqfault.New(wqfault.Broken, message, "check the URL of the store")
+		return Response{}, wqfault.New(wqfault.Broken, message, "check the URL of the store")
 	}
-	return response.StatusCode, data, nil
+	return Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
 
 func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
--- a/test/wqfakeplatform/store.go
+++ b/test/wqfakeplatform/store.go
@@ -23,6 +23,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,7 @@
 	hangEpoch         int // Number of hangs so far; a watch that began before the latest one gets no answer.
 	calls             int
 	transactions      Transactions
+	era               atomic.Uint64 // Times that the store was restored, and 1.
 }
 
 // event is one change of an item, as listings and watches return it.
@@ -59,12 +61,13 @@
 // NewStore starts a store and returns the function that stops it.
 func NewStore() (*Store, func()) {
 	s := &Store{items: make(map[string]event), values: make(map[string][]string), changed: make(chan struct{}), revision: 1}
+	s.era.Store(1)
 	m := http.NewServeMux()
 	m.HandleFunc("GET /kv-range", s.list)
 	m.HandleFunc("GET /kv-watch", s.watch)
 	m.HandleFunc("GET /kv-key", s.get)
 	m.HandleFunc("POST /kv-txn", s.transact)
-	server := httptest.NewServer(m)
+	server := httptest.NewServer(s.withEra(m))
 	s.URL = server.URL
 	return s, func() {
 		server.CloseClientConnections()
@@ -200,7 +203,8 @@
 			s.mutex.Unlock()
 			return
 		}
-		events, revision, compacted, changed := s.changesAfter(after), s.revision, after < s.compactedRevision, s.changed
+		compacted := after < s.compactedRevision || after > s.revision
+		events, revision, changed := s.changesAfter(after), s.revision, s.changed
 		s.mutex.Unlock()
 		if compacted {
 			w.WriteHeader(http.StatusGone)
