Restore test: lose the configuration at a revision above those that follow

With the order of before, the lost version had the lowest of the lost revisions, so the versions after the restore were above it and the first test passed by chance.

--- a/test/tier/restore_test.go
+++ b/test/tier/restore_test.go
@@ -40,12 +40,12 @@
 // out zone b. It returns the configuration that was lost.
 func restoreWithLosses(f *wqfakeplatform.Fleet) wqfakeplatform.Configuration {
 	stored := f.Store.Copy()
-	lost := addRoute(f.Configuration(1, initialShards), "lost")
-	f.PutConfiguration(lost)
-	f.Store.Put("op/evacuate/b", struct{}{})
 	for i := range 10 { // Revisions after the restore stay below those from before.
 		f.Register(f.SearchersOf("orders")[0], "ready", 2+i)
 	}
+	lost := addRoute(f.Configuration(1, initialShards), "lost")
+	f.PutConfiguration(lost)
+	f.Store.Put("op/evacuate/b", struct{}{})
 	f.Eventually(wqfakeplatform.MaxApplyTime, allServe(f, "lost"))
 	f.Store.SetDown(true)
 	time.Sleep(500 * time.Millisecond)
