Order the states of a restored store by its era

VMs compared revisions from before the restore with those after it; the store gives out the same numbers again. So lists were ignored, item by item, and the next watch asked for a revision that the store did not have, three times a second.

What a copy lacks is held until its author has written it again (core/wqmirror), so that a configuration does not go back, and a zone that is out gets nothing.

TestChangeAfterARestoreIsInForceInTime fails on the code before.

--- a/cmd/wqhost/follow_test.go
+++ b/cmd/wqhost/follow_test.go
@@ -67,6 +67,27 @@
 	}
 }
 
+// Guards against VMs that compare revisions from before and after a restore of the store:
+// with a copy of any age, and a second writing at any time after the return.
+func TestChangeAfterARestoreIsInForceInTime(t *testing.T) {
+	useOneProcessor(t)
+	for age := time.Duration(0); age <= 9*time.Second; age += 500 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel(7)
+			defer m.stop()
+			for range 5 {
+				m.writeVersion()
+				m.checkAppliedFor(t, 2*time.Second)
+			}
+			m.restore(2*time.Second, age, age/4)
+			m.writeVersion()
+			m.checkAppliedFor(t, 8*time.Second)
+			m.restore(time.Second, age, 0)
+			m.checkAppliedFor(t, 8*time.Second)
+		})
+	}
+}
+
 // Random faults of the store and of VMs overlap. WISTERIAQUAY_SEEDS sets the
 // number of runs.
 func TestConfirmedChangesAreInForceInTimeUnderFaults(t *testing.T) {
@@ -85,7 +106,7 @@
 }
 
 // faultKinds are the events of a random run, repeated for a higher probability.
-var faultKinds = []string{"write", "write", "write", "write", "write", "store", "compact", "refuse", "refuse", "cut", "kill", "kill"}
+var faultKinds = []string{"write", "write", "write", "write", "write", "store", "compact", "refuse", "refuse", "cut", "kill", "kill", "restore"}
 
 func runFaults(t *testing.T, random *rand.Rand) {
 	m := newModel(1 + random.IntN(14))
@@ -112,6 +133,10 @@
 			}
 		case "compact":
 			go m.compact(time.Second)
+		case "restore":
+			if m.storeServes() {
+				go m.restore(d/4, randomDuration(0, 9*time.Second), randomDuration(0, 2*time.Second))
+			}
 		case "refuse":
 			if m.mayChangeMode(v) {
 				go v.setMode(storeMode(1+random.IntN(3)), d)
--- a/cmd/wqhost/gauges.go
+++ b/cmd/wqhost/gauges.go
@@ -1,13 +1,18 @@
 package wqhost
 
-import "time"
+import (
+	"time"
+
+	"wisteriaquay/core/wqrevision"
+)
 
 // addGauges adds gauges of the published plan to the metrics of this VM.
 func (h *Host) addGauges() {
 	plan := h.controller.Plan
 	h.metrics.AddGauge("host_ready", "1 while the balancer may send callers to this VM.", func() float64 { return boolGauge(plan().Ready()) })
 	h.metrics.AddGauge("host_store_reachable", "1 while the store answered the latest call; 1 also on VMs that do not read it.", func() float64 { return boolGauge(!h.storeUnreachable.Load()) })
-	h.metrics.AddGauge("host_store_revision", "The store's revision that this VM has read up to.", func() float64 { return float64(plan().StoreRevision) })
+	h.metrics.AddGauge("host_store_revision", "The store's revision that this VM has read up to.", func() float64 { return float64(wqrevision.Of(plan().StoreRevision).Number) })
+	h.metrics.AddGauge("host_store_era", "Era of the store to which that revision belongs: it rises when the store is restored from a copy; 0 for a store that names none.", func() float64 { return float64(wqrevision.Of(plan().StoreRevision).Era) })
 	h.metrics.AddGauge("host_store_revision_age_seconds", "Time since the store or a peer last confirmed that this revision is the newest, in seconds; 0 before the first time.", func() float64 {
 		p := plan()
 		if p.ConfirmedAt.IsZero() {
--- a/cmd/wqhost/model_test.go
+++ b/cmd/wqhost/model_test.go
@@ -48,8 +48,11 @@
 	changed             chan struct{} // Closed and replaced at each update.
 	revision            uint64
 	compactedTo         uint64 // Revision up to which the history is compacted.
+	era                 uint64 // Restores of the store, and 1.
 	version             uint64
 	versionRevision     uint64 // Revision of the newest version.
+	newestVersion       uint64 // Newest version that the operator has written.
+	copies              []storeCopy
 	mode                storeMode
 	modeChanges         int       // Counts the faults of the store; a call from before one is dropped.
 	eventsWithheldUntil time.Time // Watches return no events before this time.
@@ -64,6 +67,12 @@
 	at      time.Time
 }
 
+// storeCopy is the state of the store at one moment.
+type storeCopy struct {
+	at                                 time.Time
+	revision, version, versionRevision uint64
+}
+
 type modelVM struct {
 	model       *fleetModel
 	member      wqmember.Member
@@ -78,7 +87,7 @@
 }
 
 func newModel(size int) *fleetModel {
-	m := &fleetModel{changed: make(chan struct{}), revision: 1}
+	m := &fleetModel{changed: make(chan struct{}), revision: 1, era: 1}
 	m.vms = make([]*modelVM, size)
 	for i := range m.vms {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
@@ -163,13 +172,42 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	m.update(func() {
-		m.revision++
-		m.version++
-		m.versionRevision = m.revision
+		m.copies = append(m.copies, storeCopy{time.Now(), m.revision, m.version, m.versionRevision})
+		m.newestVersion++
+		m.putVersion()
 		m.confirmed = append(m.confirmed, confirmedVersion{m.version, time.Now()})
 	})
 }
 
+// putVersion stores the newest version. The caller holds the mutex.
+func (m *fleetModel) putVersion() {
+	m.revision++
+	m.version, m.versionRevision = m.newestVersion, m.revision
+}
+
+// restore takes the store away for the downtime, and brings it back from a copy of the
+// state at the age. The operator writes the lost version again after the delay.
+func (m *fleetModel) restore(downtime, age, delay time.Duration) {
+	m.update(func() { m.mode, m.modeChanges = modeResetting, m.modeChanges+1 })
+	time.Sleep(downtime)
+	m.update(func() {
+		taken := time.Now().Add(-downtime - age)
+		for i := len(m.copies) - 1; i >= 0 && m.copies[i].at.After(taken); i-- {
+			m.revision, m.version, m.versionRevision = m.copies[i].revision, m.copies[i].version, m.copies[i].versionRevision
+			m.copies = m.copies[:i]
+		}
+		m.compactedTo = min(m.compactedTo, m.revision)
+		m.era++
+		m.mode, m.faultEnd = modeServing, time.Now()
+	})
+	time.Sleep(delay)
+	m.update(func() {
+		if m.version < m.newestVersion {
+			m.putVersion()
+		}
+	})
+}
+
 func (m *fleetModel) update(do func()) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -235,6 +273,7 @@
 		modeChanged := m.modeChanges != storeModeChanges || v.modeChanges != vmModeChanges
 		down, wentDown, eventsWithheld, changed := v.down, v.outages != outages, time.Now().Before(m.eventsWithheldUntil), m.changed
 		status, body := m.respond(r.URL.Path, after, watchExpired)
+		header := http.Header{"Store-Era": {strconv.FormatUint(m.era, 10)}}
 		m.mutex.Unlock()
 		switch {
 		case down && !wentDown:
@@ -244,11 +283,11 @@
 		case mode == modeSilent || modeChanged && mode == modeServing:
 			return nil, failAfter(ctx, noResponse)
 		case mode == modeUnavailable:
-			return newResponse(http.StatusServiceUnavailable, nil), nil
+			return newResponse(http.StatusServiceUnavailable, header, nil), nil
 		case mode == modeResetting || modeChanged:
 			return nil, errors.New("reset")
 		case status != 0 && (!eventsWithheld || r.URL.Path != "/kv-watch"):
-			return newResponse(status, body), nil
+			return newResponse(status, header, body), nil
 		}
 		select {
 		case <-ctx.Done():
@@ -275,7 +314,7 @@
 	switch {
 	case path == "/kv-range":
 		return http.StatusOK, map[string]any{"items": rows, "asOf": m.revision}
-	case after < m.compactedTo:
+	case after < m.compactedTo, after > m.revision:
 		return http.StatusGone, nil
 	case len(rows) > 0 || watchExpired:
 		return http.StatusOK, map[string]any{"events": rows, "asOf": m.revision}
@@ -293,9 +332,9 @@
 	}
 }
 
-func newResponse(status int, body any) *http.Response {
+func newResponse(status int, header http.Header, body any) *http.Response {
 	data, _ := json.Marshal(body)
-	return &http.Response{StatusCode: status, Header: make(http.Header), Body: io.NopCloser(bytes.NewReader(data))}
+	return &http.Response{StatusCode: status, Header: header, Body: io.NopCloser(bytes.NewReader(data))}
 }
 
 // controllerAt returns the controller of the VM at an address, nil when no message
--- a/core/wqdirectory/directory.go
+++ b/core/wqdirectory/directory.go
@@ -42,6 +42,12 @@
 	Sequence           int64         // Sequence increases with each change within one incarnation.
 }
 
+// IsNewer reports whether r was made after o, an earlier or later registration of the same
+// searcher.
+func (r *Registration) IsNewer(o *Registration) bool {
+	return r.Incarnation > o.Incarnation || r.Incarnation == o.Incarnation && r.Sequence > o.Sequence
+}
+
 // Directory holds the registrations of all searchers. Set the exported fields
 // before the first call.
 type Directory struct {
--- a/io/wqcontroller/controller.go
+++ b/io/wqcontroller/controller.go
@@ -82,6 +82,7 @@
 	seedCount      int // seedCount is the number of addresses in the latest SetSeeds; fleetSize is never lower.
 	fleetSize      int
 	catchup        wqcatchup.Scheduler
+	earlier        earlierFetches
 	watchGate      *roleGate
 	hubs           []*wqdirectory.Target
 	isHub          bool
@@ -121,6 +122,7 @@
 		zonesOut:      make(map[string]bool),
 		catchup:       wqcatchup.Scheduler{Zone: self.Zone},
 	}
+	c.mirror.Supersedes, c.mirror.HoldTime = c.supersedes, c.holdTime
 	c.watchGate, c.startedAt = newRoleGate(), time.Now()
 	c.members.Start(c.startedAt)
 	c.loop.HandleEvent, c.loop.Tick = c.handleEvent, c.tick
@@ -207,6 +209,7 @@
 // tick runs the timers that have expired, publishes a plan after a change and
 // returns the time of its next call.
 func (c *Controller) tick(now time.Time) time.Time {
+	c.expireHeld(now)
 	next := wqtime.Earlier(c.tickMembers(now), c.tickRollouts(now))
 	if c.dirty || !c.nextPoolChange.IsZero() && !now.Before(c.nextPoolChange) {
 		c.publish(now)
--- a/io/wqcontroller/coordination.go
+++ b/io/wqcontroller/coordination.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"wisteriaquay/core/wqmember"
@@ -411,8 +412,10 @@
 	c.mergeBatchItems(now, w.items)
 }
 
-// mergeBatchItems merges single items that the store returned.
+// mergeBatchItems merges single items that the store returned. Those of an era that this
+// VM does not know are left to the list of that era: they may be from a copy.
 func (c *Controller) mergeBatchItems(now time.Time, items []wqmirror.Item) {
+	items = slices.DeleteFunc(items, func(i wqmirror.Item) bool { return eraOf(i.Revision) > eraOf(c.mirror.StoreRevision()) })
 	c.coordination.syncedTo = c.mirror.StoreRevision()
 	changes := c.mirror.Merge(now, wqmirror.Batch{Items: items})
 	for _, i := range changes {
--- a/io/wqcontroller/members.go
+++ b/io/wqcontroller/members.go
@@ -82,6 +82,7 @@
 		c.members.HandleReply(now, h.sent, h.message)
 	}
 	c.observePeer(now, h.message.From)
+	c.fetchEarlierState(now, h.message.From)
 }
 
 // observePeer records the store revision that a peer reported.
--- a/io/wqcontroller/rollout.go
+++ b/io/wqcontroller/rollout.go
@@ -11,6 +11,7 @@
 	"wisteriaquay/core/wqdirectory"
 	"wisteriaquay/core/wqmember"
 	"wisteriaquay/core/wqmirror"
+	"wisteriaquay/core/wqrevision"
 	"wisteriaquay/core/wqrollout"
 )
 
@@ -107,6 +108,10 @@
 	}
 	switch change.Kind {
 	case wqchange.RolloutOrdered:
+		if s.isRewritten(&change.Order) {
+			s.setOrderRevision(change.Order.Revision)
+			break
+		}
 		s.begin(now, i.Age, change.Order)
 		// An order in the first items that a process gets may be of any age.
 		s.witnessed = c.coordination.syncedTo > 0 && change.Order.Revision > c.coordination.syncedTo
@@ -118,7 +123,11 @@
 		}
 		s.begin(now, i.Age, wqrollout.Order{Service: change.Service})
 	case wqchange.RolloutStatus:
+		before := s.status
 		s.status = change.Status
+		if eraOf(i.Revision) > eraOf(before.Revision) {
+			s.keepOutcome(before)
+		}
 		if s.status.Phase.Final() {
 			s.bar(s.status.Version, s.status.Phase == wqrollout.RolledBack)
 		}
@@ -127,6 +136,37 @@
 	c.dirty = true
 }
 
+// isRewritten reports whether an order is the one that is known, written again after the
+// store was restored from a copy without it.
+func (s *rolloutState) isRewritten(o *wqrollout.Order) bool {
+	return s.ordered() && eraOf(o.Revision) > eraOf(s.order.Revision) && o.Version == s.order.Version && o.Duration == s.order.Duration
+}
+
+// setOrderRevision changes the revision of the order, and of what refers to it.
+func (s *rolloutState) setOrderRevision(revision uint64) {
+	if s.latest.OrderRevision == s.order.Revision {
+		s.latest.OrderRevision = revision
+	}
+	if s.rollout != nil {
+		s.rollout.Order.Revision = revision
+	}
+	s.order.Revision = revision
+}
+
+// keepOutcome makes this VM write the outcome of the order again that a restored store has
+// lost.
+func (s *rolloutState) keepOutcome(before wqrollout.Status) {
+	switch {
+	case !s.pending() || !before.Of(s.order):
+	case before.Phase == wqrollout.Completed:
+		s.moved = true
+	case before.Phase == wqrollout.RolledBack && s.verdict == "":
+		s.verdict = "rolled back before the store was restored"
+	}
+}
+
+func eraOf(revision uint64) uint64 { return wqrevision.Of(revision).Era }
+
 // bar adds a version to those that get nothing while there are others, or removes it.
 func (s *rolloutState) bar(version string, barred bool) {
 	if !barred {
--- a/io/wqlistwatch/watcher.go
+++ b/io/wqlistwatch/watcher.go
@@ -9,8 +9,8 @@
 //	}
 //	w.Run(ctx) // until ctx ends
 //
-// When the source has compacted the changes since StoreRevision, all items are
-// listed again. Failed calls are retried with exponential backoff and jitter. The
+// When the source has compacted the changes since StoreRevision, or was restored from a
+// copy, all items are listed again. Failed calls are retried with exponential backoff and jitter. The
 // first watch after a failure has a wait of almost zero, so that a source that
 // hangs is noticed within its own call timeout.
 package wqlistwatch
@@ -29,6 +29,10 @@
 // changes since the requested revision.
 var ErrCompacted = errors.New("the source has compacted the changes since that revision; list all items")
 
+// ErrRestored is returned by Source.Watch when the source was restored from a copy, so
+// that it does not have the requested revision.
+var ErrRestored = errors.New("the source was restored from a copy; list all items")
+
 const (
 	initialBackoff    = 100 * time.Millisecond // initialBackoff is the mean delay after the first failed call.
 	maxBackoff        = 800 * time.Millisecond // maxBackoff bounds the mean delay, so that a recovered source is noticed within about a second.
@@ -41,7 +45,8 @@
 	// List returns all items.
 	List(ctx context.Context) (wqmirror.Batch, error)
 	// Watch returns the changes after a revision, or an empty batch when there
-	// are none within timeout. It fails with ErrCompacted when List is needed.
+	// are none within timeout. It fails with ErrCompacted or ErrRestored when List is
+	// needed.
 	Watch(ctx context.Context, afterRevision uint64, timeout time.Duration) (wqmirror.Batch, error)
 }
 
@@ -91,8 +96,8 @@
 		timeout = min(timeout, retryWatchTimeout)
 	}
 	b, err := w.Source.Watch(ctx, afterRevision, timeout)
-	if errors.Is(err, ErrCompacted) {
-		w.Log.Info("source compacted its history; listing all items", "source", w.Name, "as_of", afterRevision, "error", err.Error())
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) {
+		w.Log.Info("source has lost its history; listing all items", "source", w.Name, "as_of", afterRevision, "error", err.Error())
 		b, err = w.Source.List(ctx)
 		if err == nil {
 			w.Log.Info("source listed all items", "source", w.Name, "as_of", afterRevision, "listed_as_of", b.StoreRevision, "items", len(b.Items))
--- a/io/wqlistwatch/watcher_test.go
+++ b/io/wqlistwatch/watcher_test.go
@@ -15,7 +15,7 @@
 )
 
 // source fails its first two lists; its first watch finds the history compacted,
-// its second one returns a change and ends the test.
+// its second one a restored source, its third one returns a change and ends the test.
 type source struct {
 	calls *[]string
 	stop  context.CancelFunc
@@ -35,8 +35,11 @@
 }
 
 func (s source) Watch(_ context.Context, afterRevision uint64, _ time.Duration) (wqmirror.Batch, error) {
-	if s.record("watch") == 4 {
+	switch s.record("watch") {
+	case 4:
 		return wqmirror.Batch{}, wqlistwatch.ErrCompacted
+	case 6:
+		return wqmirror.Batch{}, wqlistwatch.ErrRestored
 	}
 	s.stop()
 	return wqmirror.Batch{Items: []wqmirror.Item{{Key: "k", Revision: afterRevision + 1}}, StoreRevision: afterRevision + 1}, nil
@@ -54,7 +57,7 @@
 		OnCallDone: func(ok bool) { outcomes[ok]++ }, Log: slog.New(slog.DiscardHandler),
 	}
 	w.Run(ctx)
-	must.Eq(t, []string{"list", "list", "list", "watch", "list", "watch"}, calls)
+	must.Eq(t, []string{"list", "list", "list", "watch", "list", "watch", "list", "watch"}, calls)
 	must.Eq(t, 6, storeRevision.Load())
 	must.Eq(t, 2, outcomes[false])
 }
--- a/io/wqpeer/client.go
+++ b/io/wqpeer/client.go
@@ -72,13 +72,14 @@
 	Text      string `json:"text,omitempty"` // Text takes the place of Value if that is UTF-8; it compresses better than base64.
 	Revision  uint64 `json:"revision"`
 	Removed   bool   `json:"removed,omitempty"`
-	AgeMillis int64  `json:"age_millis"` // AgeMillis is the time since a VM first read this state from the store.
+	Unlisted  bool   `json:"unlisted,omitempty"` // Unlisted is that of wqmirror.Item.
+	AgeMillis int64  `json:"age_millis"`         // AgeMillis is the time since a VM first read this state from the store.
 }
 
 // encodeItem returns the JSON form of an item. Releases before the field Text need
 // asText false.
 func encodeItem(i wqmirror.Item, asText bool) item {
-	encoded := item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed, AgeMillis: i.Age.Milliseconds()}
+	encoded := item{Key: i.Key, Value: i.Value, Revision: i.Revision, Removed: i.Removed, Unlisted: i.Unlisted, AgeMillis: i.Age.Milliseconds()}
 	if asText && utf8.Valid(i.Value) {
 		encoded.Value, encoded.Text = nil, string(i.Value)
 	}
@@ -91,7 +92,7 @@
 	if i.Text != "" {
 		value = []byte(i.Text)
 	}
-	return wqmirror.Item{Key: i.Key, Value: value, Revision: i.Revision, Removed: i.Removed, Age: age}
+	return wqmirror.Item{Key: i.Key, Value: value, Revision: i.Revision, Removed: i.Removed, Unlisted: i.Unlisted, Age: age}
 }
 
 // SendHeartbeat sends a message on a new goroutine and passes the outcome to the
