--- a/test/wqfakeplatform/restore.go
+++ b/test/wqfakeplatform/restore.go
@@ -1,6 +1,7 @@
 package wqfakeplatform
 
 import (
+	"bytes"
 	"maps"
 	"net/http"
 	"slices"
@@ -28,10 +29,38 @@
 	defer s.mutex.Unlock()
 	s.items, s.history, s.revision = maps.Clone(c.items), slices.Clone(c.history), c.revision
 	s.compactedRevision = min(s.compactedRevision, s.revision)
+	for key, values := range s.values {
+		s.restores[key] = append(s.restores[key], len(values))
+	}
 	s.era.Add(1)
 	s.notifyWatchers()
 }
 
+// ValuesByEra returns all values that a key has had, oldest first, by the era in which they
+// were written.
+func (s *Store) ValuesByEra(key string) [][]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var byEra [][]string
+	from := 0
+	for _, to := range append(slices.Clone(s.restores[key]), len(s.values[key])) {
+		byEra = append(byEra, slices.Clone(s.values[key][from:to]))
+		from = to
+	}
+	return byEra
+}
+
+// WriteAgain applies the latest Put or Remove of each key that the store has lost.
+func (s *Store) WriteAgain() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for key, e := range s.authored {
+		if current, ok := s.items[key]; ok == e.Tombstone || !bytes.Equal(current.Value, e.Value) {
+			s.applyLocked(e)
+		}
+	}
+}
+
 // withEra names the store's era in all responses.
 func (s *Store) withEra(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
