--- a/core/wqgather/gather.go
+++ b/core/wqgather/gather.go
@@ -202,22 +202,30 @@
 	if len(s.inFlight) > 0 && !g.hedgeDue(now, s) {
 		return sends
 	}
-	targets, paid := pools[g.Services[i]], s.maybeDelivered == 0
-	t := g.pickTarget(now, targets, s)
-	for t != nil {
-		paid = paid || g.HedgePolicy.TrySpend(now, g.Services[i])
-		if !paid || g.Take == nil || g.Take(now, t) {
-			break
-		}
-		t = g.pickTarget(now, targets, s)
-	}
-	if t == nil || !paid {
-		g.postpone(now, s, targets, t != nil)
+	t, hasBudget := g.takeTarget(now, pools[g.Services[i]], s, g.Services[i])
+	if t == nil || !hasBudget {
+		g.postpone(now, s, pools[g.Services[i]], t != nil)
 		return sends
 	}
 	return append(sends, g.send(now, i, t))
 }
 
+// takeTarget picks a searcher and counts the send against its limit, nil if there is none.
+// It returns hasBudget as false if there is one but no budget for an extra send.
+func (g *Gather[P, H]) takeTarget(now time.Time, targets []*wqdirectory.Target, s *serviceProgress, service string) (t *wqdirectory.Target, hasBudget bool) {
+	hasBudget = s.maybeDelivered == 0
+	for {
+		t = g.pickTarget(now, targets, s)
+		if t == nil {
+			return nil, hasBudget
+		}
+		hasBudget = hasBudget || g.HedgePolicy.TrySpend(now, service)
+		if !hasBudget || g.Take == nil || g.Take(now, t) {
+			return t, hasBudget
+		}
+	}
+}
+
 // sendsEnded reports whether LastSendAt is set and has passed.
 func (g *Gather[P, H]) sendsEnded(now time.Time) bool {
 	return !g.LastSendAt.IsZero() && !now.Before(g.LastSendAt)
--- a/core/wqmirror/mirror.go
+++ b/core/wqmirror/mirror.go
@@ -136,32 +136,41 @@
 // state of its key. Written is that of the batch.
 func (m *Mirror) put(now time.Time, i Item, written bool) bool {
 	e := m.entries[i.Key]
-	if e != nil && e.item.Revision == i.Revision {
-		e.unlisted = e.unlisted || i.Unlisted
-	}
-	isCompacted := i.Revision <= m.compactRevision && eraOf(i.Revision) == eraOf(m.compactRevision)
-	if isCompacted || e != nil && e.item.Revision >= i.Revision || e == nil && m.lapsed(now, &i) {
+	if i.Revision <= m.compactRevision && eraOf(i.Revision) == eraOf(m.compactRevision) {
 		return false
 	}
-	if e != nil && eraOf(e.item.Revision) < eraOf(i.Revision) {
-		if e.confirm(&i) {
-			return false
-		}
-		if !written && !i.Removed && m.Supersedes != nil && !m.Supersedes(i, e.lastValue()) {
-			if !i.Unlisted {
-				e.listed, e.unlisted = &i, false
-			}
+	replacement := &entry{item: i, observedAt: now.Add(-i.Age), unlisted: i.Unlisted}
+	switch {
+	case e == nil:
+		if m.lapsed(now, &i) {
 			return false
 		}
-	}
-	replacement := &entry{item: i, observedAt: now.Add(-i.Age), unlisted: i.Unlisted}
-	if e != nil && i.Removed {
+	case e.item.Revision == i.Revision:
+		e.unlisted = e.unlisted || i.Unlisted
+		return false
+	case e.item.Revision > i.Revision, eraOf(e.item.Revision) < eraOf(i.Revision) && m.keeps(e, &i, written):
+		return false
+	case i.Removed:
 		replacement.before = e.lastValue()
 	}
 	m.entries[i.Key] = replacement
 	return true
 }
 
+// keeps reports whether an entry of an earlier era stays in place of an item, and notes
+// in the entry what the store has.
+func (m *Mirror) keeps(e *entry, i *Item, written bool) bool {
+	switch {
+	case e.confirm(i):
+		return true
+	case written, i.Removed, m.Supersedes == nil, m.Supersedes(*i, e.lastValue()):
+		return false
+	case !i.Unlisted:
+		e.listed, e.unlisted = i, false
+	}
+	return true
+}
+
 // confirm moves the state to the era of i if it is the same one, which the copy of a
 // restored store had.
 func (e *entry) confirm(i *Item) bool {
--- a/core/wqstatement/limit.go
+++ b/core/wqstatement/limit.go
@@ -44,31 +44,30 @@
 	}
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
-	e := tr.entries[t.Searcher.ID]
-	if e != nil && t.Incarnation != 0 && t.Incarnation < e.start.incarnation {
-		return NoChange
-	}
-	if e == nil || e.start != startOf(t) {
-		e = tr.newEntry(now, t)
-	}
-	limited := e.isLimited(now)
-	raises := limited && (l.Report == Unlimited || l.Rate > e.limitRate)
-	if raises && !l.SentAt.After(e.limitedAt) {
+	e := tr.reportingEntry(now, t)
+	if e == nil || e.isLimited(now) && l.raises(e.limitRate) && !l.SentAt.After(e.limitedAt) {
 		return NoChange
 	}
 	if l.Report == Unlimited {
 		e.limitedAt = time.Time{}
 		return LimitEnded
 	}
-	changed := !limited || l.Rate != e.limitRate
-	if !limited {
-		e.limitedSince, e.pace = now, wqpace.Pace{}
-	}
-	e.limitRate, e.limitedAt, e.observedAt = l.Rate, now, now
-	if !changed {
-		return NoChange
+	return e.limit(now, l.Rate)
+}
+
+// raises reports whether the limit is above rate.
+func (l *Limit) raises(rate float64) bool { return l.Report == Unlimited || l.Rate > rate }
+
+// limit records that the searcher names a limit.
+func (e *entry) limit(now time.Time, rate float64) Change {
+	change := NoChange
+	if !e.isLimited(now) {
+		e.limitedSince, e.pace, change = now, wqpace.Pace{}, LimitNamed
+	} else if rate != e.limitRate {
+		change = LimitNamed
 	}
-	return LimitNamed
+	e.limitRate, e.limitedAt, e.observedAt = rate, now, now
+	return change
 }
 
 // isLimited reports whether the searcher has named a limit that still holds.
--- a/core/wqstatement/targets.go
+++ b/core/wqstatement/targets.go
@@ -16,7 +16,11 @@
 	tr.mutex.RLock()
 	defer tr.mutex.RUnlock()
 	e := tr.entryOf(t)
-	return e == nil || e.wait(now) == 0 && !(e.isLimited(now) && e.limitedSince.After(chosenAt))
+	if e == nil {
+		return true
+	}
+	becameLimited := e.isLimited(now) && e.limitedSince.After(chosenAt)
+	return e.wait(now) == 0 && !becameLimited
 }
 
 // Split returns the targets that may be sent requests: those that are serving, and
--- a/core/wqstatement/tracker.go
+++ b/core/wqstatement/tracker.go
@@ -118,13 +118,10 @@
 	}
 	tr.mutex.Lock()
 	defer tr.mutex.Unlock()
-	e := tr.entries[t.Searcher.ID]
-	if e != nil && t.Incarnation != 0 && t.Incarnation < e.start.incarnation {
+	e := tr.reportingEntry(now, t)
+	if e == nil {
 		return NoChange
 	}
-	if e == nil || e.start != startOf(t) {
-		e = tr.newEntry(now, t)
-	}
 	e.observedAt = now
 	change := NoChange
 	if s.Wait > 0 {
@@ -141,6 +138,19 @@
 	return change
 }
 
+// reportingEntry returns the entry for a report of t, nil if a later start has reported.
+// The caller holds the lock.
+func (tr *Tracker) reportingEntry(now time.Time, t *wqdirectory.Target) *entry {
+	e := tr.entries[t.Searcher.ID]
+	if e != nil && t.Incarnation != 0 && t.Incarnation < e.start.incarnation {
+		return nil
+	}
+	if e == nil || e.start != startOf(t) {
+		e = tr.newEntry(now, t)
+	}
+	return e
+}
+
 // newEntry adds an empty entry for t and evicts another one if there are too many.
 func (tr *Tracker) newEntry(now time.Time, t *wqdirectory.Target) *entry {
 	if _, replaces := tr.entries[t.Searcher.ID]; !replaces && len(tr.entries) >= maxEntries {
