Tests of rollouts across a restore of the store

A VM that knows a verdict from the store only keeps it and writes it again; an order that is written again keeps its rollout.

--- a/io/wqcontroller/rollout_test.go
+++ b/io/wqcontroller/rollout_test.go
@@ -59,6 +59,9 @@
 	}
 	switch i.Key {
 	case "order", "order v3":
+		if i.Removed {
+			return wqchange.Change{Kind: wqchange.RolloutWithdrawn, Service: "s"}
+		}
 		version := "v2"
 		if i.Key == "order v3" {
 			version = "v3"
@@ -66,6 +69,9 @@
 		d, _ := time.ParseDuration(string(i.Value)) // The tests write valid durations.
 		return wqchange.Change{Kind: wqchange.RolloutOrdered, Service: "s", Order: wqrollout.Order{Service: "s", Version: version, Duration: d, Revision: i.Revision}}
 	case "status":
+		if i.Removed {
+			return wqchange.Change{Kind: wqchange.RolloutStatus, Service: "s", Status: wqrollout.Status{Service: "s"}}
+		}
 		return wqchange.Change{Kind: wqchange.RolloutStatus, Service: "s", Status: wqrollout.Status{Service: "s", Version: "v2", Phase: wqrollout.Phase(i.Value[0]), Revision: i.Revision}}
 	}
 	return wqchange.Change{}
