--- a/cmd/wqhost/host.go
+++ b/cmd/wqhost/host.go
@@ -183,8 +183,8 @@
 }
 
 // maySend reports whether a request may still be sent to a target that was picked at
-// pickedAt: the plan in force and
-// the searcher's own reports allow it, and a stop of this VM has not ended all sends.
+// pickedAt: the plan in force and the searcher's own reports allow it, and a stop of this
+// VM has not ended all sends.
 func (h *Host) maySend(t *wqdirectory.Target, pickedAt time.Time) bool {
 	now := time.Now()
 	return !h.relay.SendsEnded() && h.controller.Plan().MaySend(now, t) && h.statements.MaySend(now, t, pickedAt)
--- a/core/wqmirror/mirror.go
+++ b/core/wqmirror/mirror.go
@@ -22,9 +22,9 @@
 //
 // A store that was restored from a copy lacks its latest changes until their authors have
 // written them again. A replica that knows them holds them: an item of an earlier era is
-// replaced by one that the store or a peer has only if Supersedes says that this one is newer, and
-// by any that is written in the present era. One that the store does not list is removed
-// after HoldTime:
+// replaced by one that is written in the present era, or by one that the store or a peer
+// has and that is newer by Supersedes. One that the store does not list is removed after
+// HoldTime:
 //
 //	m.Supersedes = func(listed, known wqmirror.Item) bool { ... }
 //	m.HoldTime = func(i wqmirror.Item) time.Duration { ... }
@@ -67,7 +67,8 @@
 // call. Without them, a list of a restored store replaces all items of earlier eras.
 type Mirror struct {
 	// Supersedes reports whether an item of a restored store is a newer state of its key
-	// than the latest one that is known from before.
+	// than the latest one with a value that is known from before. Known is zero if there
+	// is none.
 	Supersedes func(listed, known Item) bool
 	// HoldTime returns how long a state from before a restore stays in force that the
 	// store contradicts: an item that it does not list, or a tombstone.
--- a/core/wqstatement/tracker.go
+++ b/core/wqstatement/tracker.go
@@ -53,7 +53,7 @@
 type Statement struct {
 	Leaving bool          // Leaving means that the searcher will stop.
 	Wait    time.Duration // Wait is how long the searcher wants no requests from this VM; 0 for no such report.
-	Limit   Limit
+	Limit   Limit         // Limit is what the response says of the rate of requests; see ObserveLimit.
 }
 
 // Change is the effect of a statement on the searcher's state.
