--- a/core/wqmirror/restore_test.go
+++ b/core/wqmirror/restore_test.go
@@ -115,11 +115,11 @@
 // Guards against a replica that is filled from the copy and takes it for the newest state
 // although others know better.
 func TestReplicaFilledFromACopyLearnsWhatWasKnownBefore(t *testing.T) {
-	informed := newMirror()
-	informed.Merge(start, list(1, 9, in(1, "config", "5", 3), in(1, "s1", "1", 4), in(1, "s2", "1", 5)))
-	informed.Merge(start, events(1, 14, in(1, "config", "6", 11), in(1, "zone/a", "1", 12), in(1, "s1", "2", 13), in(1, "s2", "", 14)))
 	copied := list(2, 9, in(2, "config", "5", 3), in(2, "s1", "1", 4), in(2, "s2", "1", 5))
 	for name, peerKnowsEra := range map[string]bool{"in the old era": false, "in the new era": true} {
+		informed := newMirror()
+		informed.Merge(start, list(1, 9, in(1, "config", "5", 3), in(1, "s1", "1", 4), in(1, "s2", "1", 5)))
+		informed.Merge(start, events(1, 14, in(1, "config", "6", 11), in(1, "zone/a", "1", 12), in(1, "s1", "2", 13), in(1, "s2", "", 14)))
 		fresh := newMirror()
 		must.Len(t, 3, fresh.Merge(start, copied))
 		fresh.Merge(start, events(2, 10, in(2, "s3", "1", 10)))
