Test that fails: an idle fleet exceeds a small limit when demand returns

Each VM keeps one unused request of its part for good, and all use it at once: 87 requests in 4 s from 87 VMs at a limit of 1 a second, 300 from 300 VMs at 2, where 11 and 17 are allowed; 7 VMs stay within it. The test of the fleet played a steady demand only.

--- a/core/wqpace/pace.go
+++ b/core/wqpace/pace.go
@@ -17,7 +17,7 @@
 
 const (
 	// maxCredit is the time for which an unused part of the rate may still be used. With
-	// it, the VMs send up to a quarter more than the rate in 4 s.
+	// it, the VMs send up to a quarter more than the rate in 4 s, and one request each.
 	maxCredit = time.Second
 	// maxInterval bounds the time between two sends whatever the rate.
 	maxInterval = 24 * time.Hour
--- a/core/wqstatement/limit_test.go
+++ b/core/wqstatement/limit_test.go
@@ -130,3 +130,33 @@
 	_, isLimit = tr.Wait(now, both[:1])
 	must.False(t, isLimit, must.Sprint("it rejects requests for longer"))
 }
+
+// Guards against VMs that were idle while a limit stood, and use what each of them has
+// left when demand returns.
+func TestIdleFleetStaysWithinTheLimitWhenDemandReturns(t *testing.T) {
+	for _, c := range []struct {
+		vms  int
+		rate float64
+	}{{7, 20}, {7, 1}, {87, 1}, {300, 2}} {
+		t.Run(fmt.Sprintf("%v a second, %d VMs", c.rate, c.vms), func(t *testing.T) {
+			random, x, sent := rand.New(rand.NewPCG(1, 2)), target("x", 1), 0
+			fleet := make([]*wqstatement.Tracker, c.vms)
+			for i := range fleet {
+				fleet[i] = wqstatement.New()
+				fleet[i].ObserveLimit(now, x, limited(c.rate, now))
+				fleet[i].Take(now, x, c.vms, random.Uint64())
+			}
+			idle := 2 * time.Duration(float64(c.vms)/c.rate*float64(time.Second))
+			for n := range 400 {
+				at := now.Add(idle + time.Duration(n)*10*time.Millisecond)
+				for _, tr := range fleet {
+					tr.ObserveLimit(at, x, limited(c.rate, at))
+					for tr.Take(at, x, c.vms, random.Uint64()) {
+						sent++
+					}
+				}
+			}
+			must.LessEq(t, 6*c.rate+5, float64(sent))
+		})
+	}
+}
